--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/Fields.java
@@ -0,0 +1,38 @@
+package org.granitepath.bookkeeping;
+
+import java.util.List;
+import java.util.Map;
+
+/** Typed access to a decoded JSON object. Records written by ourselves are read with these. */
+public final class Fields {
+    private Fields() {}
+
+    public static long longOf(Map<String, Object> map, String name, long otherwise) {
+        return map.get(name) instanceof Number n ? n.longValue() : otherwise;
+    }
+
+    public static int intOf(Map<String, Object> map, String name, int otherwise) {
+        return (int) longOf(map, name, otherwise);
+    }
+
+    public static double doubleOf(Map<String, Object> map, String name, double otherwise) {
+        return map.get(name) instanceof Number n ? n.doubleValue() : otherwise;
+    }
+
+    public static boolean boolOf(Map<String, Object> map, String name) {
+        return Boolean.TRUE.equals(map.get(name));
+    }
+
+    public static String textOf(Map<String, Object> map, String name) {
+        return map.get(name) instanceof String s ? s : null;
+    }
+
+    @SuppressWarnings("unchecked")
+    public static Map<String, Object> mapOf(Map<String, Object> map, String name) {
+        return map.get(name) instanceof Map<?, ?> m ? (Map<String, Object>) m : null;
+    }
+
+    public static List<?> listOf(Map<String, Object> map, String name) {
+        return map.get(name) instanceof List<?> l ? l : List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/JobSpec.java
@@ -0,0 +1,74 @@
+package org.granitepath.bookkeeping;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a user asked for. Amounts are whole thousandths (of a CPU, a GPU, a gigabyte), rounded up, so that sums are
+ * exact; times are microseconds.
+ */
+public record JobSpec(String id, String jobClass, String team, boolean service, Rank rank, int tasks,
+                      long cpuMillis, long gpuMillis, long memoryMillis, String image, double imageGb,
+                      List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
+                      long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros) {
+
+    public static final long NO_DEADLINE = -1;
+
+    public boolean hasDeadline() {
+        return deadlineMicros != NO_DEADLINE;
+    }
+
+    public boolean allowsType(String type) {
+        return types == null || types.contains(type);
+    }
+
+    public boolean allowsZone(String candidate) {
+        return zone == null || zone.equals(candidate);
+    }
+
+    /** At most this many tasks may stand in one zone. */
+    public int zoneCap() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    public Map<String, Object> toMap() {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("id", id);
+        m.put("class", jobClass);
+        m.put("team", team);
+        m.put("service", service);
+        m.put("rank", rank.ordinal());
+        m.put("tasks", tasks);
+        m.put("cpu", cpuMillis);
+        m.put("gpu", gpuMillis);
+        m.put("mem", memoryMillis);
+        m.put("image", image);
+        m.put("imageGb", imageGb);
+        if (types != null) {
+            m.put("types", types);
+        }
+        if (zone != null) {
+            m.put("zone", zone);
+        }
+        m.put("oneZone", oneZone);
+        m.put("spread", spread);
+        m.put("spot", spot);
+        m.put("estimate", estimateMicros);
+        m.put("checkpoint", checkpointMicros);
+        m.put("save", saveMicros);
+        m.put("deadline", deadlineMicros);
+        return m;
+    }
+
+    public static JobSpec fromMap(Map<String, Object> m) {
+        List<String> types = m.get("types") instanceof List<?> l ? l.stream().map(String::valueOf).toList() : null;
+        return new JobSpec(Fields.textOf(m, "id"), Fields.textOf(m, "class"), Fields.textOf(m, "team"),
+                Fields.boolOf(m, "service"), Rank.values()[Fields.intOf(m, "rank", 3)], Fields.intOf(m, "tasks", 1),
+                Fields.longOf(m, "cpu", 0), Fields.longOf(m, "gpu", 0), Fields.longOf(m, "mem", 0),
+                Fields.textOf(m, "image"), Fields.doubleOf(m, "imageGb", 0), types, Fields.textOf(m, "zone"),
+                Fields.boolOf(m, "oneZone"), Fields.boolOf(m, "spread"), Fields.boolOf(m, "spot"),
+                Fields.longOf(m, "estimate", 0), Fields.longOf(m, "checkpoint", 0), Fields.longOf(m, "save", 0),
+                Fields.longOf(m, "deadline", NO_DEADLINE));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/MachineType.java
@@ -0,0 +1,56 @@
+package org.granitepath.bookkeeping;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A machine type that the cloud rents. */
+public record MachineType(String name, long cpuMillis, long gpuMillis, long memoryMillis, double fetchGbPerSecond,
+                          double price, double spotPrice, long bootMicros, List<String> zones) {
+
+    public boolean fits(JobSpec spec) {
+        return spec.allowsType(name) && spec.cpuMillis() <= cpuMillis && spec.gpuMillis() <= gpuMillis
+                && spec.memoryMillis() <= memoryMillis
+                && (spec.zone() == null || zones.contains(spec.zone()));
+    }
+
+    /** How many tasks of this shape an empty machine holds. */
+    public int slots(JobSpec spec) {
+        long n = Long.MAX_VALUE;
+        if (spec.cpuMillis() > 0) {
+            n = Math.min(n, cpuMillis / spec.cpuMillis());
+        }
+        if (spec.gpuMillis() > 0) {
+            n = Math.min(n, gpuMillis / spec.gpuMillis());
+        }
+        if (spec.memoryMillis() > 0) {
+            n = Math.min(n, memoryMillis / spec.memoryMillis());
+        }
+        return (int) Math.min(n, 1000);
+    }
+
+    public double priceFor(boolean spot) {
+        return spot ? spotPrice : price;
+    }
+
+    public Map<String, Object> toMap() {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name", name);
+        m.put("cpu", cpuMillis);
+        m.put("gpu", gpuMillis);
+        m.put("mem", memoryMillis);
+        m.put("fetch", fetchGbPerSecond);
+        m.put("price", price);
+        m.put("spot", spotPrice);
+        m.put("boot", bootMicros);
+        m.put("zones", zones);
+        return m;
+    }
+
+    public static MachineType fromMap(Map<String, Object> m) {
+        return new MachineType(Fields.textOf(m, "name"), Fields.longOf(m, "cpu", 0), Fields.longOf(m, "gpu", 0),
+                Fields.longOf(m, "mem", 0), Fields.doubleOf(m, "fetch", 1), Fields.doubleOf(m, "price", 0),
+                Fields.doubleOf(m, "spot", 0), Fields.longOf(m, "boot", 0),
+                Fields.listOf(m, "zones").stream().map(String::valueOf).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/Mirror.java
@@ -0,0 +1,227 @@
+package org.granitepath.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.StatePort.Item;
+import org.granitepath.bookkeeping.StatePort.Outcome;
+import org.granitepath.bookkeeping.StatePort.Page;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A copy of our records, kept by following the state service. Entries only move forward by stamp. A read barrier is a
+ * follow begun after the question arrived: whatever any controller committed before is in the mirror when it ends.
+ */
+public final class Mirror {
+    private static final Logger LOG = LoggerFactory.getLogger(Mirror.class);
+    private static final long LONG_POLL_MICROS = 20_000_000;
+    private static final long RETRY_MICROS = 400_000;
+    private static final int PAGE = 500;
+
+    public enum Phase { LOADING, FOLLOWING }
+
+    /** Told of every change of a record, in order; {@code value} null: removed. */
+    public interface Listener {
+        void changed(String key, Map<String, Object> value, long stamp);
+
+        void loaded();
+    }
+
+    private record Entry(Map<String, Object> value, long stamp) {}
+
+    private final StatePort state;
+    private final Timers timers;
+    private final long spacingMicros;
+    private final Listener listener;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private Phase phase = Phase.LOADING;
+    private long epoch;
+    private boolean loadedOnce;
+    private Set<String> seenInLoad;
+    private long loadEpoch;
+    private long lastContactMicros;
+    private boolean barrierRunning;
+    private boolean barrierScheduled;
+    private long lastBarrierMicros = Long.MIN_VALUE / 2;
+    private List<Consumer<Boolean>> waiting = new ArrayList<>();
+
+    /** @param spacingMicros least time between two reads of one kind, from this controller's share of requests */
+    public Mirror(StatePort state, Timers timers, long spacingMicros, Listener listener) {
+        this.state = state;
+        this.timers = timers;
+        this.spacingMicros = spacingMicros;
+        this.listener = listener;
+        this.lastContactMicros = timers.nowMicros();
+    }
+
+    public void start() {
+        load();
+    }
+
+    public boolean loaded() {
+        return loadedOnce;
+    }
+
+    /** When the last request was sent whose answer brought the mirror up to date. */
+    public long lastContactMicros() {
+        return lastContactMicros;
+    }
+
+    public Map<String, Object> value(String key) {
+        Entry e = entries.get(key);
+        return e == null ? null : e.value();
+    }
+
+    public long stamp(String key) {
+        Entry e = entries.get(key);
+        return e == null || e.value() == null ? 0 : e.stamp();
+    }
+
+    /** Drops a record's content that nobody reads any more; the stamp stays as a guard against older news. */
+    public void forget(String key) {
+        entries.remove(key);
+    }
+
+    /** Records our own committed write at once, before the follow brings it. */
+    public void applied(String key, Map<String, Object> value, long stamp) {
+        apply(key, value, stamp);
+    }
+
+    /** Calls back with true once the mirror is as new as this moment, false when that can't be had now. */
+    public void barrier(Consumer<Boolean> then) {
+        if (phase != Phase.FOLLOWING) {
+            then.accept(false);
+            return;
+        }
+        waiting.add(then);
+        pumpBarrier();
+    }
+
+    private void transition(Phase next) {
+        if (phase != next) {
+            LOG.debug("mirror {} -> {}", phase, next);
+            phase = next;
+        }
+    }
+
+    private void load() {
+        transition(Phase.LOADING);
+        seenInLoad = new HashSet<>();
+        loadEpoch = 0;
+        loadPage("");
+    }
+
+    private void loadPage(String from) {
+        long sent = timers.nowMicros();
+        state.list(Keys.ALL, from, PAGE, page -> {
+            if (page.outcome() != Outcome.OK) {
+                timers.after(RETRY_MICROS, () -> loadPage(from));
+                return;
+            }
+            if (loadEpoch == 0) {
+                loadEpoch = page.epoch();
+            }
+            String last = from;
+            for (Item item : page.items()) {
+                seenInLoad.add(item.key());
+                apply(item.key(), item.value(), item.stamp());
+                last = item.key();
+            }
+            if (page.more()) {
+                loadPage(last);
+                return;
+            }
+            // Keys known before a reload that are no longer there were removed meanwhile.
+            for (String key : new ArrayList<>(entries.keySet())) {
+                if (!seenInLoad.contains(key) && entries.get(key).stamp() <= loadEpoch) {
+                    apply(key, null, loadEpoch);
+                }
+            }
+            epoch = loadEpoch;
+            lastContactMicros = Math.max(lastContactMicros, sent);
+            seenInLoad = null;
+            transition(Phase.FOLLOWING);
+            if (!loadedOnce) {
+                loadedOnce = true;
+                listener.loaded();
+            }
+            followOn();
+        });
+    }
+
+    private void followOn() {
+        if (phase != Phase.FOLLOWING) {
+            return;
+        }
+        long sent = timers.nowMicros();
+        state.follow(Keys.ALL, epoch, LONG_POLL_MICROS, page -> {
+            if (phase != Phase.FOLLOWING) {
+                return;
+            }
+            if (page.outcome() == Outcome.GONE) {
+                LOG.info("the state service no longer has the changes since {}: reading all records again", epoch);
+                load();
+            } else if (page.outcome() == Outcome.OK) {
+                take(page, sent);
+                timers.after(spacingMicros, this::followOn);
+            } else {
+                timers.after(RETRY_MICROS, this::followOn);
+            }
+        });
+    }
+
+    private void pumpBarrier() {
+        if (barrierRunning || barrierScheduled || waiting.isEmpty()) {
+            return;
+        }
+        long due = lastBarrierMicros + spacingMicros;
+        long now = timers.nowMicros();
+        if (due > now) {
+            barrierScheduled = true;
+            timers.after(due - now, () -> {
+                barrierScheduled = false;
+                pumpBarrier();
+            });
+            return;
+        }
+        barrierRunning = true;
+        lastBarrierMicros = now;
+        List<Consumer<Boolean>> served = waiting;
+        waiting = new ArrayList<>();
+        state.follow(Keys.ALL, epoch, 0, page -> {
+            boolean fresh = page.outcome() == Outcome.OK && phase == Phase.FOLLOWING;
+            if (fresh) {
+                take(page, now);
+            }
+            barrierRunning = false;
+            for (Consumer<Boolean> then : served) {
+                then.accept(fresh);
+            }
+            pumpBarrier();
+        });
+    }
+
+    private void take(Page page, long sentMicros) {
+        for (Item item : page.items()) {
+            if (item.stamp() > epoch) {
+                apply(item.key(), item.value(), item.stamp());
+            }
+        }
+        epoch = Math.max(epoch, page.epoch());
+        lastContactMicros = Math.max(lastContactMicros, sentMicros);
+    }
+
+    private void apply(String key, Map<String, Object> value, long stamp) {
+        Entry old = entries.get(key);
+        if (old != null && old.stamp() >= stamp) {
+            return;
+        }
+        entries.put(key, new Entry(value, stamp));
+        listener.changed(key, value, stamp);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/ProgressRecord.java
@@ -0,0 +1,58 @@
+package org.granitepath.bookkeeping;
+
+import com.google.common.collect.DiscreteDomain;
+import com.google.common.collect.Range;
+import com.google.common.collect.RangeSet;
+import com.google.common.collect.TreeRangeSet;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How far a job has come: task numbers below {@code claimed} belong to {@code owner}, which alone may start them;
+ * finished tasks are kept as ranges, so that 100,000 of them stay small; {@code running} is the published count.
+ */
+public record ProgressRecord(String owner, int claimed, RangeSet<Integer> done, int running) {
+
+    public static ProgressRecord none() {
+        return new ProgressRecord("", 0, TreeRangeSet.create(), 0);
+    }
+
+    public static void addTask(RangeSet<Integer> set, int task) {
+        set.add(Range.closedOpen(task, task + 1));
+    }
+
+    public static int count(RangeSet<Integer> set) {
+        int n = 0;
+        for (Range<Integer> r : set.asRanges()) {
+            Range<Integer> c = r.canonical(DiscreteDomain.integers());
+            n += c.upperEndpoint() - c.lowerEndpoint();
+        }
+        return n;
+    }
+
+    public Map<String, Object> toMap() {
+        List<Integer> ends = new ArrayList<>();
+        for (Range<Integer> r : done.asRanges()) {
+            ends.add(r.lowerEndpoint());
+            ends.add(r.upperEndpoint());
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("owner", owner);
+        m.put("claimed", claimed);
+        m.put("done", ends);
+        m.put("running", running);
+        return m;
+    }
+
+    public static ProgressRecord fromMap(Map<String, Object> m) {
+        RangeSet<Integer> done = TreeRangeSet.create();
+        List<?> ends = Fields.listOf(m, "done");
+        for (int i = 0; i + 1 < ends.size(); i += 2) {
+            done.add(Range.closedOpen(((Number) ends.get(i)).intValue(), ((Number) ends.get(i + 1)).intValue()));
+        }
+        return new ProgressRecord(Fields.textOf(m, "owner"), Fields.intOf(m, "claimed", 0), done,
+                Fields.intOf(m, "running", 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/RosterRecord.java
@@ -0,0 +1,33 @@
+package org.granitepath.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Machines of one owner, each with the baton under which it takes commands. One value holds many machines. */
+public record RosterRecord(String owner, List<Host> hosts) {
+
+    public record Host(String id, String address, String type, String zone, boolean spot, long baton) {}
+
+    public Map<String, Object> toMap() {
+        List<Object> rows = new ArrayList<>();
+        for (Host h : hosts) {
+            rows.add(List.of(h.id(), h.address(), h.type(), h.zone(), h.spot() ? 1 : 0, h.baton()));
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("owner", owner);
+        m.put("hosts", rows);
+        return m;
+    }
+
+    public static RosterRecord fromMap(Map<String, Object> m) {
+        List<Host> hosts = new ArrayList<>();
+        for (Object row : Fields.listOf(m, "hosts")) {
+            List<?> r = (List<?>) row;
+            hosts.add(new Host((String) r.get(0), (String) r.get(1), (String) r.get(2), (String) r.get(3),
+                    ((Number) r.get(4)).intValue() == 1, ((Number) r.get(5)).longValue()));
+        }
+        return new RosterRecord(Fields.textOf(m, "owner"), hosts);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/Timers.java
@@ -0,0 +1,12 @@
+package org.granitepath.bookkeeping;
+
+/** The steady clock and what is to happen later, all on the event loop. */
+public interface Timers {
+    /** Steady clock; only differences mean anything. */
+    long nowMicros();
+
+    /** Time of day, within the platform's stated bound. */
+    long timeOfDayMicros();
+
+    void after(long delayMicros, Runnable action);
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/cli/RehearseCommand.java
@@ -0,0 +1,84 @@
+package org.granitepath.cli;
+
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.granitepath.transport.EventLoop;
+import org.granitepath.transport.HttpCalls;
+import picocli.CommandLine.Command;
+
+/**
+ * Starts a controller on loopback with nothing to talk to, sends it one request of each kind and ends. The build runs
+ * this to record the classes that a start needs.
+ */
+@Command(name = "rehearse", hidden = true, description = "Runs a short start for the build's class archive.")
+final class RehearseCommand implements Callable<Integer> {
+    private static final String SUBMISSION = "{\"uid\":\"run-1\",\"lane\":\"a\",\"owner\":\"t\",\"shape\":\"batch\","
+            + "\"rank\":\"high\",\"pieces\":1,\"cpus\":1.0,\"cards\":0.0,\"mem_gb\":1.0,\"bundle\":\"b\","
+            + "\"size_gb\":1.0,\"same_place\":false,\"scatter\":false,\"loaner\":false,\"expect_s\":1.0,"
+            + "\"snapshot_s\":0.0,\"flush_s\":0.0}";
+    private static final String BEAT = "{\"host\":\"i-1\",\"address\":\"127.0.0.1:1\",\"model\":\"m\",\"site\":\"z\","
+            + "\"loaner\":false,\"shift\":1,\"tally\":1,\"baton\":0,\"pieces\":[]}";
+
+    @Override
+    public Integer call() throws Exception {
+        int port = freePort();
+        int closed = freePort();
+        Path file = Files.createTempFile("granitepath", ".toml");
+        Files.writeString(file, """
+                node_name = "n0"
+                site = "z"
+                serve_on = "127.0.0.1:%d"
+                back = "127.0.0.1:%d"
+                [[others]]
+                node_name = "n1"
+                site = "z"
+                addr = "127.0.0.1:%d"
+                [services]
+                cloud = "127.0.0.1:%d"
+                state = "127.0.0.1:%d"
+                [facts]
+                zones = ["z"]
+                skew_ms = 1.0
+                [[facts.teams]]
+                name = "t"
+                cpus = 0.0
+                [facts.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                cancel_s = 30.0
+                [facts.state]
+                rps = 10.0
+                write_rps = 10.0
+                value_kb = 8.0
+                txn_ops = 8
+                [facts.cloud]
+                rps = 1.0
+                list_lag_s = 1.0
+                """.formatted(port, closed, closed, closed, closed));
+        ServeCommand.start(Settings.read(file, null));
+        Files.delete(file);
+        HttpCalls http = new HttpCalls(new EventLoop());
+        String address = "127.0.0.1:" + port;
+        CountDownLatch answered = new CountDownLatch(4);
+        HttpCalls.Reply count = (status, body) -> answered.countDown();
+        http.call(address, Methods.GET, "/up", null, 2_000_000, false, count);
+        http.call(address, Methods.POST, "/submissions", SUBMISSION, 2_000_000, true, count);
+        http.call(address, Methods.POST, "/agent/beat", BEAT, 2_000_000, true, count);
+        http.call(address, Methods.GET, "/submissions/run-1", null, 2_000_000, true, count);
+        answered.await(5, TimeUnit.SECONDS);
+        System.exit(0);
+        return 0;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -0,0 +1,202 @@
+package org.granitepath.cli;
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.core.io.ParsingException;
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import org.granitepath.coordination.Config;
+import org.snakeyaml.engine.v2.api.Load;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+
+/** The platform's settings file, checked. Fields that we don't know are left alone. */
+public record Settings(Config config, Address listen, Address peerListen, Map<String, String> peerAddresses,
+                       String cloud, String state) {
+
+    public record Address(String host, int port) {}
+
+    /** A setting that can't be used, in words for the operator. */
+    public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    public static Settings read(Path file, Path tuningFile) throws Invalid {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new Invalid("can't read " + file + ": " + e.getMessage());
+        }
+        UnmodifiableConfig toml;
+        try {
+            toml = new TomlParser().parse(text);
+        } catch (ParsingException e) {
+            throw new Invalid(file + " is not valid TOML: " + e.getMessage());
+        }
+        Map<String, String> peers = new LinkedHashMap<>();
+        for (UnmodifiableConfig peer : tables(toml, "others")) {
+            peers.put(text(peer, "node_name"), address(text(peer, "addr"), "others.addr").toString());
+            peers.put(text(peer, "node_name"), text(peer, "addr"));
+        }
+        Map<String, Config.Team> teams = new LinkedHashMap<>();
+        for (UnmodifiableConfig t : tables(toml, "facts.teams")) {
+            teams.put(text(t, "name"), new Config.Team(text(t, "name"), millis(t, "cpus"), millis(t, "cpus_max"),
+                    millis(t, "gpus"), millis(t, "gpus_max")));
+        }
+        Map<String, Config.Objective> objectives = new LinkedHashMap<>();
+        for (UnmodifiableConfig o : tables(toml, "facts.objectives")) {
+            String jobClass = o.get("class");
+            if (jobClass != null) {
+                Config.Objective old = objectives.getOrDefault(jobClass, new Config.Objective(0, false));
+                objectives.put(jobClass, switch (String.valueOf((Object) o.get("kind"))) {
+                    case "wait" -> new Config.Objective(micros(o, "within_s"), old.deadline());
+                    case "deadline" -> new Config.Objective(old.waitMicros(), true);
+                    default -> old;
+                });
+            }
+        }
+        Object zones = toml.get("facts.zones");
+        Config config = new Config(text(toml, "node_name"), UUID.randomUUID().toString(), List.copyOf(peers.keySet()),
+                zones instanceof List<?> l ? l.stream().map(String::valueOf).toList() : List.of(), teams, objectives,
+                positive(toml, "facts.workers.report_s"), positive(toml, "facts.workers.lease_s"),
+                positive(toml, "facts.workers.cancel_s"), number(toml, "facts.state.rps", 0.1),
+                number(toml, "facts.state.write_rps", 0.1), (int) (number(toml, "facts.state.value_kb", 0.5) * 1024),
+                (int) number(toml, "facts.state.txn_ops", 4), number(toml, "facts.cloud.rps", 0.01),
+                micros(toml, "facts.cloud.list_lag_s"), Math.round(number(toml, "facts.skew_ms", 0) * 1000),
+                tuning(tuningFile));
+        return new Settings(config, address(text(toml, "serve_on"), "serve_on"), address(text(toml, "back"), "back"),
+                peers, addressText(toml, "services.cloud"), addressText(toml, "services.state"));
+    }
+
+    // ---- operators' own settings ---------------------------------------------------------------------------------
+
+    private static Config.Tuning tuning(Path file) throws Invalid {
+        Config.Tuning d = Config.Tuning.defaults();
+        if (file == null) {
+            return d;
+        }
+        Map<?, ?> yaml;
+        try {
+            Object loaded = new Load(LoadSettings.builder().build()).loadFromString(Files.readString(file));
+            if (loaded == null) {
+                return d;
+            }
+            if (!(loaded instanceof Map<?, ?> map)) {
+                throw new Invalid(file + " must hold settings by name");
+            }
+            yaml = map;
+        } catch (IOException e) {
+            throw new Invalid("can't read " + file + ": " + e.getMessage());
+        } catch (org.snakeyaml.engine.v2.exceptions.YamlEngineException e) {
+            throw new Invalid(file + " is not valid YAML: " + e.getMessage());
+        }
+        Map<String, Object> rest = new LinkedHashMap<>();
+        yaml.forEach((k, v) -> rest.put(String.valueOf(k), v));
+        Config.Tuning t = new Config.Tuning(
+                seconds(rest, "leader-lease-s", d.leaderLeaseMicros(), 1, 60),
+                seconds(rest, "idle-s", d.idleMicros(), 0, 3600),
+                real(rest, "weight-critical", d.criticalWeight(), 1, 1e6),
+                real(rest, "weight-high", d.highWeight(), 1, 1e6),
+                real(rest, "weight-standard", d.standardWeight(), 1, 1e6),
+                real(rest, "weight-best-effort", d.bestEffortWeight(), 1, 1e6),
+                real(rest, "patience-share", d.patienceShare(), 0, 1),
+                seconds(rest, "publish-s", d.publishMicros(), 0.5, 60),
+                (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000));
+        if (!rest.isEmpty()) {
+            throw new Invalid(file + ": unknown setting " + rest.keySet().iterator().next());
+        }
+        return t;
+    }
+
+    private static long seconds(Map<String, Object> m, String name, long otherwise, double least, double most)
+            throws Invalid {
+        return Math.round(real(m, name, otherwise / 1e6, least, most) * 1e6);
+    }
+
+    private static double real(Map<String, Object> m, String name, double otherwise, double least, double most)
+            throws Invalid {
+        Object v = m.remove(name);
+        if (v == null) {
+            return otherwise;
+        }
+        if (!(v instanceof Number n) || !(n.doubleValue() >= least && n.doubleValue() <= most)) {
+            throw new Invalid(name + " must be a number from " + least + " to " + most);
+        }
+        return n.doubleValue();
+    }
+
+    // ---- TOML --------------------------------------------------------------------------------------------------
+
+    private static List<UnmodifiableConfig> tables(UnmodifiableConfig c, String path) throws Invalid {
+        Object v = c.get(path);
+        if (v == null) {
+            return List.of();
+        }
+        if (!(v instanceof List<?> list)) {
+            throw new Invalid(path + " must be a list of tables");
+        }
+        List<UnmodifiableConfig> tables = new ArrayList<>();
+        for (Object o : list) {
+            if (!(o instanceof UnmodifiableConfig t)) {
+                throw new Invalid(path + " must be a list of tables");
+            }
+            tables.add(t);
+        }
+        return tables;
+    }
+
+    private static String text(UnmodifiableConfig c, String path) throws Invalid {
+        if (!(c.get(path) instanceof String s) || s.isEmpty()) {
+            throw new Invalid(path + " is missing or not a text");
+        }
+        return s;
+    }
+
+    private static String addressText(UnmodifiableConfig c, String path) throws Invalid {
+        String text = text(c, path);
+        address(text, path);
+        return text;
+    }
+
+    private static Address address(String text, String path) throws Invalid {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65536) {
+                return new Address(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // reported below
+        }
+        throw new Invalid(path + " must be HOST:PORT, not " + text);
+    }
+
+    private static double number(UnmodifiableConfig c, String path, double least) throws Invalid {
+        if (!(c.get(path) instanceof Number n) || !(n.doubleValue() >= least)) {
+            throw new Invalid(path + " must be a number of at least " + least);
+        }
+        return n.doubleValue();
+    }
+
+    private static long positive(UnmodifiableConfig c, String path) throws Invalid {
+        return Math.round(number(c, path, 0.001) * 1e6);
+    }
+
+    private static long micros(UnmodifiableConfig c, String path) throws Invalid {
+        return Math.round(number(c, path, 0) * 1e6);
+    }
+
+    private static long millis(UnmodifiableConfig c, String path) {
+        return c.get(path) instanceof Number n ? Math.round(n.doubleValue() * 1000) : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and the settings. */
+package org.granitepath.cli;
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -0,0 +1,143 @@
+package org.granitepath.coordination;
+
+import com.google.common.collect.RangeSet;
+import com.google.common.collect.TreeRangeSet;
+import it.unimi.dsi.fastutil.ints.Int2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.IntAVLTreeSet;
+import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import org.granitepath.bookkeeping.JobRecord;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.ProgressRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An unfinished job as its leader sees it: which tasks are done, placed, free to start, or in doubt. */
+final class ActiveJob {
+    private static final Logger LOG = LoggerFactory.getLogger(ActiveJob.class);
+
+    /** {@code ENDING}: all tasks done, to be recorded. {@code OVER}: its final state is on record. */
+    enum Phase { OPEN, ENDING, OVER }
+
+    final JobSpec spec;
+    final long acceptedMicros;
+    /** When this leader learnt of it, on the steady clock. */
+    final long sinceMicros;
+    final RangeSet<Integer> done;
+    final Int2ObjectMap<Placement> placements = new Int2ObjectLinkedOpenHashMap<>();
+    final Object2IntOpenHashMap<String> zoneCounts = new Object2IntOpenHashMap<>();
+    /** Claimed, not done, not placed, and proved to be on no machine. */
+    final IntAVLTreeSet free = new IntAVLTreeSet();
+    /** Claimed by a predecessor; may be running on a machine not yet heard. */
+    final IntOpenHashSet doubt = new IntOpenHashSet();
+    Phase phase = Phase.OPEN;
+    int doneCount;
+    /** Tasks below this are ours by record. */
+    int claimed;
+    int claimWanted;
+    /** Tasks at or above this were never handed out. */
+    int fresh;
+    int failureStreak;
+    long notBeforeMicros;
+    /** Since when tasks wait without room; negative when none does. */
+    long waitingSinceMicros = -1;
+
+    ActiveJob(JobRecord record, ProgressRecord progress, long nowMicros) {
+        this.spec = record.spec();
+        this.acceptedMicros = record.acceptedMicros();
+        this.sinceMicros = nowMicros;
+        this.done = TreeRangeSet.create(progress.done());
+        this.doneCount = ProgressRecord.count(done);
+        this.claimed = progress.claimed();
+        this.claimWanted = claimed;
+        this.fresh = claimed;
+        for (int i = 0; i < claimed; i++) {
+            if (!done.contains(i)) {
+                doubt.add(i);
+            }
+        }
+    }
+
+    void transition(Phase next, String why) {
+        if (phase != next) {
+            LOG.info("job {}: {} -> {} ({})", spec.id(), phase, next, why);
+            phase = next;
+        }
+    }
+
+    /** Running in the paper's sense: handed out and not known to be over. */
+    int running() {
+        return placements.size() + doubt.size();
+    }
+
+    int left() {
+        return spec.tasks() - doneCount;
+    }
+
+    /** Tasks that could start now if there were room, claimed or not. */
+    int waiting() {
+        return phase == Phase.OPEN ? left() - running() : 0;
+    }
+
+    boolean hasClaimedTask() {
+        return !free.isEmpty() || fresh < claimed;
+    }
+
+    /** Takes the next task number to start. */
+    int takeTask() {
+        if (!free.isEmpty()) {
+            int t = free.firstInt();
+            free.remove(t);
+            return t;
+        }
+        return fresh++;
+    }
+
+    void place(Placement p) {
+        placements.put(p.task.index(), p);
+        zoneCounts.addTo(p.machine.zone, 1);
+        doubt.remove(p.task.index());
+        free.remove(p.task.index());
+    }
+
+    /** The placement is proved gone. */
+    void unplace(Placement p) {
+        if (placements.remove(p.task.index(), p)) {
+            zoneCounts.addTo(p.machine.zone, -1);
+            if (!done.contains(p.task.index()) && phase != Phase.OVER) {
+                free.add(p.task.index());
+            }
+        }
+    }
+
+    void markDone(int task) {
+        if (!done.contains(task)) {
+            ProgressRecord.addTask(done, task);
+            doneCount++;
+        }
+        free.remove(task);
+        doubt.remove(task);
+    }
+
+    /** Every machine that could have held a task of ours was heard or is proved gone. */
+    void settleDoubt() {
+        free.addAll(doubt);
+        doubt.clear();
+    }
+
+    /** Whether one more task may stand in this zone; tasks in doubt may stand anywhere. */
+    boolean zoneAllows(String zone) {
+        if (spec.oneZone()) {
+            if (!doubt.isEmpty()) {
+                return false;
+            }
+            for (var e : zoneCounts.object2IntEntrySet()) {
+                if (e.getIntValue() > 0 && !e.getKey().equals(zone)) {
+                    return false;
+                }
+            }
+        }
+        return !spec.spread() || zoneCounts.getInt(zone) + doubt.size() + 1 <= spec.zoneCap();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -0,0 +1,403 @@
+package org.granitepath.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents machines for work that waits and returns those that nothing needs. A stale leader does no harm here: machines
+ * that nobody asked for are found in the list or by their reports, and are used or returned.
+ */
+final class Autoscaler {
+    private static final Logger LOG = LoggerFactory.getLogger(Autoscaler.class);
+    private static final long TICK_MICROS = 1_000_000;
+    private static final long REFUSED_MICROS = 15_000_000;
+    private static final long SERVICE_HORIZON_MICROS = 600_000_000;
+    private static final long LEAST_CHARGE_MICROS = 60_000_000;
+    private static final int RENT_AT_ONCE = 50;
+    private static final int RETURN_AT_ONCE = 100;
+    private static final int LIST_PAGE = 500;
+
+    /** A machine rented and not yet heard. */
+    private record Booting(String id, MachineType type, String zone, boolean spot, long rentedMicros) {}
+
+    private record Offer(MachineType type, String zone, boolean spot) {
+        String key() {
+            return type.name() + "/" + zone + "/" + spot;
+        }
+    }
+
+    /** Room on a machine that is on its way. */
+    private static final class Bin {
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        long cpu;
+        long gpu;
+        long memory;
+
+        Bin(MachineType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            cpu = type.cpuMillis();
+            gpu = type.gpuMillis();
+            memory = type.memoryMillis();
+        }
+
+        boolean take(JobSpec s) {
+            if (!s.allowsType(type.name()) || !s.allowsZone(zone) || spot && !s.spot() || s.cpuMillis() > cpu
+                    || s.gpuMillis() > gpu || s.memoryMillis() > memory) {
+                return false;
+            }
+            cpu -= s.cpuMillis();
+            gpu -= s.gpuMillis();
+            memory -= s.memoryMillis();
+            return true;
+        }
+    }
+
+    private final Config config;
+    private final Dispatcher dispatcher;
+    private final Leadership leadership;
+    private final CloudPort cloud;
+    private final Timers timers;
+    private final long baton;
+    private final Map<String, Booting> booting = new LinkedHashMap<>();
+    private final Map<String, Long> refusedUntil = new HashMap<>();
+    private final Map<String, Long> returned = new HashMap<>();
+    private long bookings;
+    private boolean renting;
+    private boolean returning;
+    private boolean listing;
+    private long listDueMicros;
+    private boolean listedOnce;
+    private double tokens = 1;
+    private long tokensAtMicros;
+
+    Autoscaler(Config config, Dispatcher dispatcher, Leadership leadership, CloudPort cloud, Timers timers,
+               long baton) {
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.leadership = leadership;
+        this.cloud = cloud;
+        this.timers = timers;
+        this.baton = baton;
+        this.tokensAtMicros = timers.nowMicros();
+        timers.after(TICK_MICROS / 10, this::tick);
+    }
+
+    private void tick() {
+        if (dispatcher.ended()) {
+            return;
+        }
+        timers.after(TICK_MICROS, this::tick);
+        if (!leadership.certain() || dispatcher.types().isEmpty()) {
+            return;
+        }
+        long now = timers.nowMicros();
+        booting.keySet().removeIf(id -> dispatcher.machine(id) != null);
+        refusedUntil.values().removeIf(until -> until < now);
+        returned.values().removeIf(at -> at < now - 120_000_000);
+        list(now);
+        // What a predecessor rented shows in the list; renting before reading it would buy everything twice.
+        if (listedOnce) {
+            rent(now);
+        }
+        giveBack(now);
+    }
+
+    private boolean mayCall(long now) {
+        double rate = config.cloudRequests() * 0.8;
+        tokens = Math.min(Math.max(1, rate), tokens + (now - tokensAtMicros) * rate / 1e6);
+        tokensAtMicros = now;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    // ---- what there is -------------------------------------------------------------------------------------------
+
+    private void list(long now) {
+        if (!listing && now >= listDueMicros && mayCall(now)) {
+            listing = true;
+            listPage("", now);
+        }
+    }
+
+    private void listPage(String from, long began) {
+        cloud.list(from, LIST_PAGE, listing -> {
+            if (dispatcher.ended()) {
+                return;
+            }
+            long now = timers.nowMicros();
+            if (listing.outcome() != CloudPort.Outcome.OK) {
+                this.listing = false;
+                listDueMicros = now + 2_000_000;
+                return;
+            }
+            String last = from;
+            for (CloudPort.ListedHost h : listing.hosts()) {
+                last = h.id();
+                take(h, now);
+            }
+            if (listing.more()) {
+                listPage(last, began);
+                return;
+            }
+            this.listing = false;
+            listedOnce = true;
+            listDueMicros = now + 6_000_000;
+        });
+    }
+
+    private void take(CloudPort.ListedHost h, long now) {
+        MachineType type = dispatcher.types().get(h.type());
+        if (type == null || returned.containsKey(h.id()) || dispatcher.machine(h.id()) != null) {
+            return;
+        }
+        if (!booting.containsKey(h.id())) {
+            LOG.info("machine {} ({} {}) is listed as {}", h.id(), h.type(), h.zone(), h.state());
+            long age = h.state() == CloudPort.HostState.FAILED ? Long.MAX_VALUE / 4 : h.ageMicros();
+            booting.put(h.id(), new Booting(h.id(), type, h.zone(), h.spot(), now - age));
+        }
+    }
+
+    // ---- renting -------------------------------------------------------------------------------------------------
+
+    private boolean buysFor(ActiveJob job, long now) {
+        if (job.waiting() <= 0 || job.waitingSinceMicros < 0 || job.notBeforeMicros > now) {
+            return false;
+        }
+        if (job.spec.service() || job.spec.hasDeadline()) {
+            return true;
+        }
+        Config.Objective objective = config.objectives().get(job.spec.jobClass());
+        long patience = objective == null || objective.waitMicros() == 0 ? 30_000_000
+                : (long) (objective.waitMicros() * config.tuning().patienceShare());
+        return now - job.waitingSinceMicros > patience;
+    }
+
+    private void rent(long now) {
+        if (renting) {
+            return;
+        }
+        List<Bin> bins = new ArrayList<>();
+        for (Booting b : booting.values()) {
+            bins.add(new Bin(b.type(), b.zone(), b.spot()));
+        }
+        for (Machine m : dispatcher.machines()) {
+            // Just arrived and not yet ready for tasks.
+            if (m.phase == Machine.Phase.UNCONFIRMED && m.type != null && m.placements.isEmpty() && !m.inherited) {
+                bins.add(new Bin(m.type, m.zone, m.spot));
+            }
+        }
+        List<ActiveJob> waiting = new ArrayList<>();
+        for (ActiveJob j : dispatcher.jobs()) {
+            if (buysFor(j, now)) {
+                waiting.add(j);
+            }
+        }
+        waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        Map<String, Offer> offers = new HashMap<>();
+        for (ActiveJob job : waiting) {
+            plan(job, bins, counts, offers, now);
+        }
+        Offer best = null;
+        int most = 0;
+        for (var e : counts.entrySet()) {
+            if (e.getValue() > most) {
+                most = e.getValue();
+                best = offers.get(e.getKey());
+            }
+        }
+        if (best != null && mayCall(now)) {
+            order(best, Math.min(most, RENT_AT_ONCE), now);
+        }
+    }
+
+    private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
+                      long now) {
+        JobSpec spec = job.spec;
+        Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
+        int left = Math.min(job.waiting(), 2000);
+        for (Bin bin : bins) {
+            while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
+                zoneCounts.merge(bin.zone, 1, Integer::sum);
+                left--;
+            }
+        }
+        while (left > 0) {
+            Offer offer = cheapest(job, left, zoneCounts, counts, now);
+            if (offer == null) {
+                return;
+            }
+            Bin bin = new Bin(offer.type(), offer.zone(), offer.spot());
+            int before = left;
+            while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
+                zoneCounts.merge(bin.zone, 1, Integer::sum);
+                left--;
+            }
+            if (left == before) {
+                return;
+            }
+            bins.add(bin);
+            offers.put(offer.key(), offer);
+            counts.merge(offer.key(), 1, Integer::sum);
+        }
+    }
+
+    /** The offer with the lowest cost for each task of this job, from rental to the task's end. */
+    private Offer cheapest(ActiveJob job, int left, Map<String, Integer> zoneCounts, Map<String, Integer> counts,
+                           long now) {
+        JobSpec spec = job.spec;
+        Offer best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        long horizon = spec.service() ? SERVICE_HORIZON_MICROS : Math.max(1_000_000, spec.estimateMicros());
+        for (MachineType type : dispatcher.types().values()) {
+            if (!type.fits(spec)) {
+                continue;
+            }
+            int used = Math.min(type.slots(spec), left);
+            long ready = type.bootMicros() + (long) (spec.imageGb() / type.fetchGbPerSecond() * 1e6);
+            for (String zone : type.zones()) {
+                if (!spec.allowsZone(zone) || zoneCounts.getOrDefault(zone, 0) >= spec.zoneCap()) {
+                    continue;
+                }
+                for (boolean spot : new boolean[] {true, false}) {
+                    Offer offer = new Offer(type, zone, spot);
+                    if (spot && !spec.spot() || refusedUntil.containsKey(offer.key())) {
+                        continue;
+                    }
+                    double cost = type.priceFor(spot) * Math.max(ready + horizon, LEAST_CHARGE_MICROS) / used;
+                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros()
+                            - (now - job.sinceMicros)) {
+                        cost *= 2;
+                    }
+                    // Among equals the zone with the fewest machines on their way.
+                    cost *= 1 + 0.001 * counts.getOrDefault(offer.key(), 0) + 0.0005 * zoneCounts.getOrDefault(zone, 0);
+                    if (cost < bestCost) {
+                        bestCost = cost;
+                        best = offer;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private void order(Offer offer, int count, long now) {
+        renting = true;
+        // The baton is unique to this term of ownership, so no booking's name is ever used twice.
+        String booking = "b" + baton + "-" + ++bookings;
+        LOG.info("renting {} of {} in {}{} as {}", count, offer.type().name(), offer.zone(),
+                offer.spot() ? " (spot)" : "", booking);
+        send(new CloudPort.Rental(booking, offer.type().name(), offer.zone(), offer.spot(), count), offer, now, 0);
+    }
+
+    private void send(CloudPort.Rental rental, Offer offer, long began, int tries) {
+        cloud.rent(rental, answer -> {
+            if (dispatcher.ended()) {
+                return;
+            }
+            long now = timers.nowMicros();
+            switch (answer.outcome()) {
+                case OK -> {
+                    for (String id : answer.hosts()) {
+                        booting.putIfAbsent(id, new Booting(id, offer.type(), offer.zone(), offer.spot(), now));
+                    }
+                    if (answer.hosts().size() < rental.count()) {
+                        refusedUntil.put(offer.key(), now + REFUSED_MICROS);
+                    }
+                    LOG.info("rental {} brought {} of {}", rental.booking(), answer.hosts().size(), rental.count());
+                    renting = false;
+                }
+                case NO_CAPACITY -> {
+                    LOG.info("rental {} refused: no capacity for {}", rental.booking(), offer.key());
+                    refusedUntil.put(offer.key(), now + REFUSED_MICROS);
+                    renting = false;
+                }
+                case REFUSED, UNKNOWN -> {
+                    // It may have been carried out: only the same booking tells, and rents nothing twice.
+                    if (tries < 20) {
+                        timers.after(1_000_000, () -> {
+                            if (!dispatcher.ended()) {
+                                send(rental, offer, began, tries + 1);
+                            }
+                        });
+                    } else {
+                        renting = false;
+                    }
+                }
+            }
+        });
+    }
+
+    // ---- returning -----------------------------------------------------------------------------------------------
+
+    private void giveBack(long now) {
+        List<String> ids = new ArrayList<>();
+        for (Booting b : booting.values()) {
+            if (now - b.rentedMicros() > 3 * b.type().bootMicros() + 30_000_000 && ids.size() < RETURN_AT_ONCE) {
+                LOG.info("returning {}: not up after {} s", b.id(), (now - b.rentedMicros()) / 1_000_000);
+                ids.add(b.id());
+            }
+        }
+        int silent = 0;
+        for (Machine m : dispatcher.machines()) {
+            if (now - m.heardMicros > silenceMicros()) {
+                silent++;
+            }
+        }
+        // Many silent at once: more likely we are the ones cut off.
+        boolean trustSilence = silent <= Math.max(2, dispatcher.machines().size() / 5);
+        for (Machine m : List.copyOf(dispatcher.machines())) {
+            if (ids.size() >= RETURN_AT_ONCE) {
+                break;
+            }
+            boolean dead = trustSilence && now - m.heardMicros > silenceMicros();
+            boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
+                    && now - m.idleSinceMicros > config.tuning().idleMicros();
+            boolean drained = m.phase == Machine.Phase.DRAINING && m.placements.isEmpty();
+            if (m.phase == Machine.Phase.RETURNING || dead || idle || drained) {
+                if (m.phase != Machine.Phase.RETURNING) {
+                    m.transition(Machine.Phase.RETURNING, dead ? "silent" : idle ? "idle" : "drained");
+                }
+                ids.add(m.id);
+            }
+        }
+        if (ids.isEmpty() || returning || !mayCall(now)) {
+            return;
+        }
+        returning = true;
+        cloud.giveBack(ids, done -> {
+            returning = false;
+            if (dispatcher.ended() || !done) {
+                return;
+            }
+            for (String id : ids) {
+                returned.put(id, timers.nowMicros());
+                booting.remove(id);
+                Machine m = dispatcher.machine(id);
+                if (m != null) {
+                    dispatcher.proveGone(m, "returned to the cloud");
+                }
+            }
+        });
+    }
+
+    private long silenceMicros() {
+        return Math.max(3 * config.reportMicros(), config.leaseMicros() / 3) + 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Beat.java
@@ -0,0 +1,19 @@
+package org.granitepath.coordination;
+
+import java.util.List;
+
+/** A worker's report. {@code noticeMicros} is negative when the cloud has announced nothing. */
+public record Beat(String host, String address, String type, String zone, boolean spot, long session, long sequence,
+                   long baton, long noticeMicros, List<TaskReport> tasks) {
+
+    public enum TaskState { FETCHING, RUNNING, SAVING, EXITED }
+
+    public enum Cause { NONE, DONE, STOPPED, FAILED, NO_ROOM, BUSY, UNKNOWN_JOB }
+
+    public record TaskReport(TaskId task, long attempt, TaskState state, Cause cause, boolean saved) {}
+
+    /** Whether this report was made later than one with the given session and sequence. */
+    public boolean newerThan(long otherSession, long otherSequence) {
+        return session > otherSession || session == otherSession && sequence > otherSequence;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -0,0 +1,42 @@
+package org.granitepath.coordination;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the decision code needs of the settings: the platform's facts and the operators' own choices. */
+public record Config(String node, String incarnation, List<String> peers, List<String> zones, Map<String, Team> teams,
+                     Map<String, Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
+                     double stateRequests, double stateWrites, int valueBytes, int txnOps, double cloudRequests,
+                     long listLagMicros, long skewMicros, Tuning tuning) {
+
+    /** Limits in thousandths; 0: none. */
+    public record Team(String name, long cpuGuarantee, long cpuLimit, long gpuGuarantee, long gpuLimit) {}
+
+    /** What is expected of a class: its tasks start within {@code waitMicros}; 0: not said. */
+    public record Objective(long waitMicros, boolean deadline) {}
+
+    /** Operators' own choices, from the YAML file. */
+    public record Tuning(long leaderLeaseMicros, long idleMicros, double criticalWeight, double highWeight,
+                         double standardWeight, double bestEffortWeight, double patienceShare,
+                         long publishMicros, int claimBlock) {
+        public static Tuning defaults() {
+            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 0.25, 5_000_000, 256);
+        }
+    }
+
+    /** A margin on everything timed by another machine's clock. */
+    public static final long MARGIN_MICROS = 1_500_000;
+
+    /** {@code micros} on another machine's steady clock is over on ours after this long. */
+    public static long withDrift(long micros) {
+        return micros + micros / 900;
+    }
+
+    /**
+     * How long a leader out of touch with the state service goes on answering workers: a cancellation that it can't
+     * see must still take effect by the end of the workers' lease.
+     */
+    public long holdMicros() {
+        return Math.max(1_000_000, cancelMicros - withDrift(leaseMicros) - 2 * MARGIN_MICROS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -0,0 +1,173 @@
+package org.granitepath.coordination;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Keys;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.bookkeeping.Mirror;
+import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: serves users always, and machines while it owns them. All calls come on the event loop. */
+public final class Controller {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final long TICK_MICROS = 1_000_000;
+    private static final long TYPES_MICROS = 60_000_000;
+    /** The controllers share the state service; each reads the latest changes at most this often. */
+    private static final double READ_SHARE = 0.12;
+
+    private final Config config;
+    private final StatePort state;
+    private final CloudPort cloud;
+    private final WorkerPort workers;
+    private final Timers timers;
+    private final Mirror mirror;
+    private final JobBook book = new JobBook();
+    private final Leadership leadership;
+    private final UserDesk desk;
+    private final Map<String, MachineType> types = new LinkedHashMap<>();
+    private Dispatcher dispatcher;
+    private boolean askingTypes;
+    private long typesDueMicros;
+
+    public Controller(Config config, StatePort state, CloudPort cloud, WorkerPort workers, Timers timers) {
+        this.config = config;
+        this.state = state;
+        this.cloud = cloud;
+        this.workers = workers;
+        this.timers = timers;
+        this.mirror = new Mirror(state, timers, (long) (1e6 / (config.stateRequests() * READ_SHARE)),
+                new Mirror.Listener() {
+                    @Override
+                    public void changed(String key, Map<String, Object> value, long stamp) {
+                        recordChanged(key, value);
+                    }
+
+                    @Override
+                    public void loaded() {
+                        LOG.info("records read: {} open jobs, owner {}", book.openJobs().size(),
+                                leadership.ownerNode());
+                    }
+                });
+        this.leadership = new Leadership(config, state, mirror, timers, new Leadership.Listener() {
+            @Override
+            public void elected(Leadership.Term term) {
+                takeOffice(term);
+            }
+
+            @Override
+            public void deposed(String why) {
+                leaveOffice();
+            }
+        });
+        this.desk = new UserDesk(config, state, mirror, book, timers, () -> types);
+    }
+
+    public void start() {
+        mirror.start();
+        leadership.start();
+        tick();
+    }
+
+    /** Whether users may be sent here. */
+    public boolean healthy() {
+        return mirror.loaded() && !types.isEmpty();
+    }
+
+    public boolean owner() {
+        return dispatcher != null;
+    }
+
+    public void submit(JobSpec spec, Consumer<UserAnswer> then) {
+        desk.submit(spec, then);
+    }
+
+    public void poll(String id, Consumer<UserAnswer> then) {
+        desk.poll(id, then);
+    }
+
+    public void cancel(String id, Consumer<UserAnswer> then) {
+        desk.cancel(id, then);
+    }
+
+    public BeatAnswer beat(Beat beat) {
+        if (dispatcher == null) {
+            String owner = leadership.ownerNode();
+            return owner != null && !owner.equals(config.node()) ? new BeatAnswer.Elsewhere(owner)
+                    : new BeatAnswer.Unavailable();
+        }
+        return leadership.answersWorkers() ? dispatcher.beat(beat) : new BeatAnswer.Unavailable();
+    }
+
+    private void tick() {
+        timers.after(TICK_MICROS, this::tick);
+        if (mirror.loaded()) {
+            mirror.barrier(fresh -> { });
+        }
+        long now = timers.nowMicros();
+        if ((types.isEmpty() || dispatcher != null && now >= typesDueMicros) && !askingTypes) {
+            askTypes();
+        }
+    }
+
+    private void askTypes() {
+        askingTypes = true;
+        cloud.types(list -> {
+            askingTypes = false;
+            typesDueMicros = timers.nowMicros() + (list == null ? 2_000_000 : TYPES_MICROS);
+            if (list != null) {
+                learnTypes(list, true);
+            }
+        });
+    }
+
+    private void learnTypes(List<MachineType> list, boolean fromCloud) {
+        if (!fromCloud && !types.isEmpty()) {
+            return;
+        }
+        types.clear();
+        for (MachineType t : list) {
+            types.put(t.name(), t);
+        }
+        if (dispatcher != null) {
+            dispatcher.typesChanged(list);
+            if (fromCloud) {
+                dispatcher.recordTypes(list);
+            }
+        }
+    }
+
+    private void recordChanged(String key, Map<String, Object> value) {
+        if (key.equals(Keys.LEADER)) {
+            leadership.leaderChanged();
+        } else if (key.equals(Keys.TYPES) && value != null) {
+            // So that a controller that starts while the cloud is down can judge submissions.
+            @SuppressWarnings("unchecked")
+            List<MachineType> list = Fields.listOf(value, "types").stream()
+                    .map(t -> MachineType.fromMap((Map<String, Object>) t)).toList();
+            learnTypes(list, false);
+        } else {
+            book.changed(key, value);
+        }
+    }
+
+    private void takeOffice(Leadership.Term term) {
+        dispatcher = new Dispatcher(config, leadership, term, state, mirror, book, timers, workers);
+        if (!types.isEmpty()) {
+            dispatcher.typesChanged(List.copyOf(types.values()));
+            dispatcher.recordTypes(List.copyOf(types.values()));
+        }
+        new Autoscaler(config, dispatcher, leadership, cloud, timers, term.baton());
+    }
+
+    private void leaveOffice() {
+        dispatcher.end();
+        dispatcher = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -0,0 +1,249 @@
+package org.granitepath.coordination;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.bookkeeping.Keys;
+import org.granitepath.bookkeeping.Mirror;
+import org.granitepath.bookkeeping.RosterRecord;
+import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.StatePort.Guard;
+import org.granitepath.bookkeeping.StatePort.Outcome;
+import org.granitepath.bookkeeping.StatePort.Txn;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who owns the machines. The owner holds a leased key; the transaction that takes it also draws the next baton from
+ * the shared counter and writes every roster anew under owner and baton, so that no machine is ever without exactly
+ * one owner on record and no two owners share a baton.
+ */
+final class Leadership {
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+    private static final long CHECK_MICROS = 250_000;
+
+    /**
+     * {@code HOLDING}: lately no word from the state service; workers are still answered, since an outage looks the
+     * same. {@code SILENT}: for so long that a cancellation might be missed; workers are left to their leases.
+     */
+    enum Phase { FOLLOWING, CAMPAIGNING, LEADING, HOLDING, SILENT }
+
+    /** What a won campaign brings: the baton, the guard for all later writes, and how the machines were left. */
+    record Term(long baton, long leaderStamp, boolean predecessorDead) {}
+
+    interface Listener {
+        void elected(Term term);
+
+        void deposed(String why);
+    }
+
+    private final Config config;
+    private final StatePort state;
+    private final Mirror mirror;
+    private final Timers timers;
+    private final Listener listener;
+    private Phase phase = Phase.FOLLOWING;
+    private long lease;
+    private Term term;
+    private long confirmedMicros;
+    private boolean touching;
+    private long touchDueMicros;
+    private long quietUntilMicros;
+
+    Leadership(Config config, StatePort state, Mirror mirror, Timers timers, Listener listener) {
+        this.config = config;
+        this.state = state;
+        this.mirror = mirror;
+        this.timers = timers;
+        this.listener = listener;
+    }
+
+    void start() {
+        timers.after(CHECK_MICROS, this::tick);
+    }
+
+    boolean leads() {
+        return term != null;
+    }
+
+    /** Whether workers may be answered: we lead, and could not have missed a cancellation for too long. */
+    boolean answersWorkers() {
+        return phase == Phase.LEADING || phase == Phase.HOLDING;
+    }
+
+    /** Whether the state service confirmed lately that we lead. */
+    boolean certain() {
+        return phase == Phase.LEADING;
+    }
+
+    /** When the last request was sent that the state service answered with our being the leader. */
+    long confirmedMicros() {
+        return confirmedMicros;
+    }
+
+    /** The owner on record, or null. */
+    String ownerNode() {
+        Map<String, Object> v = mirror.value(Keys.LEADER);
+        return v == null ? null : Fields.textOf(v, "node");
+    }
+
+    private void transition(Phase next, String why) {
+        if (phase != next) {
+            LOG.info("leadership {} -> {} ({})", phase, next, why);
+            phase = next;
+        }
+    }
+
+    /** The leader record changed. */
+    void leaderChanged() {
+        Map<String, Object> v = mirror.value(Keys.LEADER);
+        if (term != null) {
+            boolean mine = v != null && config.incarnation().equals(Fields.textOf(v, "incarnation"))
+                    && Fields.longOf(v, "baton", 0) == term.baton();
+            if (!mine && mirror.stamp(Keys.LEADER) != term.leaderStamp()) {
+                depose(v == null ? "our lease ran out" : "taken over by " + Fields.textOf(v, "node"));
+            }
+        } else if (v == null && phase == Phase.FOLLOWING) {
+            considerCampaign();
+        }
+    }
+
+    private void tick() {
+        timers.after(CHECK_MICROS, this::tick);
+        long now = timers.nowMicros();
+        if (term == null) {
+            considerCampaign();
+            return;
+        }
+        if (now >= touchDueMicros && !touching) {
+            touch();
+        }
+        long sinceContact = now - confirmedMicros;
+        if (phase == Phase.LEADING && sinceContact > config.tuning().leaderLeaseMicros()) {
+            transition(Phase.HOLDING, "no answer from the state service");
+        }
+        if (phase == Phase.HOLDING && sinceContact > config.holdMicros()) {
+            transition(Phase.SILENT, "a cancellation could have been missed for too long");
+        }
+    }
+
+    private void considerCampaign() {
+        if (phase != Phase.FOLLOWING || !mirror.loaded() || timers.nowMicros() < quietUntilMicros) {
+            return;
+        }
+        Map<String, Object> v = mirror.value(Keys.LEADER);
+        // A leader of our own name and another incarnation is our former process, and that has ended.
+        boolean formerSelf = v != null && config.node().equals(Fields.textOf(v, "node"))
+                && !config.incarnation().equals(Fields.textOf(v, "incarnation"));
+        if (v == null || formerSelf) {
+            campaign(formerSelf);
+        }
+    }
+
+    private void campaign(boolean formerSelf) {
+        transition(Phase.CAMPAIGNING, formerSelf ? "we led before our restart" : "no leader on record");
+        long began = timers.nowMicros();
+        state.openLease(config.tuning().leaderLeaseMicros(), leased -> {
+            if (leased.outcome() != Outcome.OK) {
+                retreat("no lease to be had");
+                return;
+            }
+            // The record as it is now: another may have won meanwhile.
+            mirror.barrier(fresh -> {
+                Map<String, Object> v = mirror.value(Keys.LEADER);
+                boolean free = v == null || formerSelf && config.node().equals(Fields.textOf(v, "node"));
+                if (!fresh || !free) {
+                    retreat(fresh ? "another was faster" : "can't read the records");
+                } else {
+                    seize(leased.lease(), began, formerSelf);
+                }
+            });
+        });
+    }
+
+    private void seize(long newLease, long began, boolean formerSelf) {
+        Map<String, Object> former = mirror.value(Keys.LEADER);
+        // Our former process is dead, but one that it deposed may still hold on for a while after that.
+        boolean predecessorDead = formerSelf && timers.timeOfDayMicros() - Fields.longOf(former, "at", Long.MAX_VALUE)
+                > config.holdMicros() + 2 * config.skewMicros() + Config.MARGIN_MICROS;
+        Map<String, Object> counter = mirror.value(Keys.BATON);
+        long baton = (counter == null ? 0 : Fields.longOf(counter, "last", 0)) + 1;
+        List<Guard> guards = new ArrayList<>();
+        List<Change> changes = new ArrayList<>();
+        Map<String, Object> leader = new LinkedHashMap<>();
+        leader.put("node", config.node());
+        leader.put("incarnation", config.incarnation());
+        leader.put("baton", baton);
+        leader.put("at", timers.timeOfDayMicros());
+        changes.add(new Change(Keys.LEADER, leader, newLease));
+        changes.add(Change.write(Keys.BATON, Map.of("last", baton)));
+        for (int i = 0; mirror.value(Keys.ROSTER + i) != null; i++) {
+            RosterRecord old = RosterRecord.fromMap(mirror.value(Keys.ROSTER + i));
+            List<RosterRecord.Host> hosts = old.hosts().stream().map(h -> new RosterRecord.Host(h.id(), h.address(),
+                    h.type(), h.zone(), h.spot(), baton)).toList();
+            changes.add(Change.write(Keys.ROSTER + i, new RosterRecord(config.node(), hosts).toMap()));
+        }
+        for (Change c : changes) {
+            guards.add(new Guard(c.key(), mirror.stamp(c.key())));
+        }
+        // A roster begun meanwhile by the former owner must not be overlooked.
+        int rosters = changes.size() - 2;
+        guards.add(new Guard(Keys.ROSTER + rosters, 0));
+        state.commit(new Txn(guards, changes), answer -> {
+            if (answer.outcome() != Outcome.OK) {
+                // If it is carried out all the same, nobody touches the lease and the key goes with it.
+                retreat("takeover " + answer.outcome());
+                return;
+            }
+            lease = newLease;
+            term = new Term(baton, answer.epoch(), predecessorDead);
+            confirmedMicros = began;
+            touchDueMicros = began + config.tuning().leaderLeaseMicros() / 3;
+            touching = false;
+            for (Change c : changes) {
+                mirror.applied(c.key(), c.value(), answer.epoch());
+            }
+            transition(Phase.LEADING, "baton " + baton);
+            listener.elected(term);
+        });
+    }
+
+    private void retreat(String why) {
+        quietUntilMicros = timers.nowMicros() + config.tuning().leaderLeaseMicros() / 10;
+        transition(Phase.FOLLOWING, why);
+    }
+
+    private void touch() {
+        touching = true;
+        Term ours = term;
+        long sent = timers.nowMicros();
+        touchDueMicros = sent + config.tuning().leaderLeaseMicros() / 4;
+        state.touchLease(lease, outcome -> {
+            if (term != ours) {
+                return;
+            }
+            touching = false;
+            if (outcome == Outcome.OK) {
+                confirmedMicros = sent;
+                transition(Phase.LEADING, "the state service answers");
+            } else if (outcome == Outcome.NOT_FOUND) {
+                depose("our lease ran out");
+            } else {
+                LOG.debug("touch of lease {}: {}", lease, outcome);
+            }
+        });
+    }
+
+    private void depose(String why) {
+        if (term != null) {
+            term = null;
+            transition(Phase.FOLLOWING, why);
+            listener.deposed(why);
+            considerCampaign();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -0,0 +1,168 @@
+package org.granitepath.coordination;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.granitepath.bookkeeping.Mirror;
+import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.StatePort.Guard;
+import org.granitepath.bookkeeping.StatePort.Outcome;
+import org.granitepath.bookkeeping.StatePort.Txn;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes of one controller, gathered into transactions within its share of the write budget. One transaction is under
+ * way at a time; each change is guarded by the stamp that the mirror has of its key, so a late copy of a transaction
+ * fails. Contents are produced when the transaction is built, so what goes out is always the latest.
+ */
+public final class Ledger {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+    private static final long RETRY_MICROS = 300_000;
+    private static final int TXN_BYTES = 48 * 1024;
+
+    /** One thing to be written: a few changes that belong together. */
+    private record Entry(Supplier<List<Change>> content, LongConsumer committed, long dueMicros) {}
+
+    private final StatePort state;
+    private final Mirror mirror;
+    private final Timers timers;
+    private final int txnOps;
+    private final double writesPerSecond;
+    private final Supplier<List<Guard>> fence;
+    private final BooleanSupplier open;
+    private final Map<String, Entry> wanted = new LinkedHashMap<>();
+    private boolean busy;
+    private boolean timerSet;
+    private double tokens;
+    private long tokensAtMicros;
+
+    /** @param fence guards on every transaction; @param open whether to write at all; once false, false for ever */
+    public Ledger(StatePort state, Mirror mirror, Timers timers, int txnOps, double writesPerSecond,
+                  Supplier<List<Guard>> fence, BooleanSupplier open) {
+        this.state = state;
+        this.mirror = mirror;
+        this.timers = timers;
+        this.txnOps = txnOps;
+        this.writesPerSecond = writesPerSecond;
+        this.fence = fence;
+        this.open = open;
+        this.tokens = writesPerSecond;
+        this.tokensAtMicros = timers.nowMicros();
+    }
+
+    /**
+     * Asks for a write. A later wish under the same name replaces an earlier one, but never puts it off. An empty
+     * content withdraws it.
+     */
+    public void want(String name, long delayMicros, Supplier<List<Change>> content, LongConsumer committed) {
+        long due = timers.nowMicros() + delayMicros;
+        Entry old = wanted.get(name);
+        wanted.put(name, new Entry(content, committed, old == null ? due : Math.min(due, old.dueMicros())));
+        pump();
+    }
+
+    public boolean pending(String name) {
+        return wanted.containsKey(name);
+    }
+
+    private void pump() {
+        if (busy || wanted.isEmpty() || !open.getAsBoolean()) {
+            return;
+        }
+        long now = timers.nowMicros();
+        tokens = Math.min(writesPerSecond, tokens + (now - tokensAtMicros) * writesPerSecond / 1e6);
+        tokensAtMicros = now;
+        long wait = Long.MAX_VALUE;
+        for (Entry e : wanted.values()) {
+            wait = Math.min(wait, e.dueMicros() - now);
+        }
+        if (wait <= 0 && tokens < 1) {
+            wait = (long) ((1 - tokens) * 1e6 / writesPerSecond) + 1;
+        }
+        if (wait > 0) {
+            wake(wait);
+            return;
+        }
+        Map<String, Entry> sent = new LinkedHashMap<>();
+        List<Change> changes = new ArrayList<>();
+        int bytes = 0;
+        for (var it = wanted.entrySet().iterator(); it.hasNext(); ) {
+            var named = it.next();
+            if (named.getValue().dueMicros() > now && changes.size() * 2 >= txnOps) {
+                continue;
+            }
+            List<Change> content = named.getValue().content().get();
+            if (content.isEmpty()) {
+                it.remove();
+                continue;
+            }
+            int size = content.stream().mapToInt(c -> String.valueOf(c.value()).length() + 100).sum();
+            if (!changes.isEmpty() && (changes.size() + content.size() > Math.min(txnOps, Math.max(1, (int) tokens))
+                    || bytes + size > TXN_BYTES)) {
+                continue;
+            }
+            changes.addAll(content);
+            bytes += size;
+            sent.put(named.getKey(), named.getValue());
+        }
+        if (changes.isEmpty()) {
+            pump();
+            return;
+        }
+        List<Guard> guards = new ArrayList<>(fence.get());
+        for (Change c : changes) {
+            guards.add(new Guard(c.key(), mirror.stamp(c.key())));
+        }
+        busy = true;
+        tokens -= changes.size();
+        wanted.keySet().removeAll(sent.keySet());
+        state.commit(new Txn(guards, changes), answer -> {
+            if (answer.outcome() == Outcome.OK) {
+                for (Change c : changes) {
+                    mirror.applied(c.key(), c.value(), answer.epoch());
+                }
+                busy = false;
+                for (Entry e : sent.values()) {
+                    e.committed().accept(answer.epoch());
+                }
+                pump();
+                return;
+            }
+            LOG.debug("transaction on {} ended {} {}", sent.keySet(), answer.outcome(), answer.failed());
+            // Written, refused or still under way: read back before trying again with the stamps as they then are.
+            sent.forEach(wanted::putIfAbsent);
+            readBack(answer.outcome() == Outcome.CONFLICT ? 0 : RETRY_MICROS);
+        });
+    }
+
+    private void readBack(long delayMicros) {
+        timers.after(delayMicros, () -> mirror.barrier(fresh -> {
+            if (!open.getAsBoolean()) {
+                return;
+            }
+            if (fresh) {
+                busy = false;
+                pump();
+            } else {
+                readBack(RETRY_MICROS);
+            }
+        }));
+    }
+
+    private void wake(long delayMicros) {
+        if (!timerSet) {
+            timerSet = true;
+            timers.after(Math.min(delayMicros, RETRY_MICROS), () -> {
+                timerSet = false;
+                pump();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -0,0 +1,124 @@
+package org.granitepath.coordination;
+
+import it.unimi.dsi.fastutil.longs.Long2LongOpenHashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.bookkeeping.RosterRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A machine on our roster, or on its way there. */
+final class Machine {
+    private static final Logger LOG = LoggerFactory.getLogger(Machine.class);
+    private static final int IMAGES_REMEMBERED = 12;
+
+    /**
+     * {@code UNCONFIRMED}: not heard under its present baton, so its tasks are not known for certain. {@code
+     * DRAINING}: takes no new tasks. {@code RETURNING}: the cloud was asked to take it; it may vanish at any moment.
+     */
+    enum Phase { UNCONFIRMED, READY, DRAINING, RETURNING, GONE }
+
+    final String id;
+    final String typeName;
+    final String zone;
+    final boolean spot;
+    String address;
+    MachineType type;
+    Phase phase = Phase.UNCONFIRMED;
+    long baton;
+    /** Whether the state service has this machine on our roster with {@link #baton}. Nothing starts before. */
+    boolean rostered;
+    boolean wantsNewBaton;
+    /** Taken over with its tasks unknown. */
+    boolean inherited;
+    long session = -1;
+    long sequence = -1;
+    long heardMicros;
+    /** From this moment on nobody can have kept the worker's lease alive, provided that we don't either. */
+    long leaseOverMicros;
+    boolean callUnderWay;
+    boolean ordersDue;
+    int failures;
+    long idleSinceMicros;
+    long firstHeardMicros;
+    final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+    /** Attempts started by a direct order, with its baton: a late copy of the order must find them still listed. */
+    final Long2LongOpenHashMap directAttempts = new Long2LongOpenHashMap();
+    /** Orders that the latest report calls for: stops of strangers and clean-up. */
+    final List<Order> housekeeping = new ArrayList<>();
+    private final LinkedHashSet<String> images = new LinkedHashSet<>();
+    private long cpuUsed;
+    private long gpuUsed;
+    private long memoryUsed;
+
+    Machine(String id, String address, String typeName, String zone, boolean spot) {
+        this.id = id;
+        this.address = address;
+        this.typeName = typeName;
+        this.zone = zone;
+        this.spot = spot;
+    }
+
+    void transition(Phase next, String why) {
+        if (phase != next) {
+            LOG.info("machine {} ({} {}{}): {} -> {} ({})", id, typeName, zone, spot ? " spot" : "", phase, next, why);
+            phase = next;
+        }
+    }
+
+    boolean takesTasks() {
+        return phase == Phase.READY && rostered && !wantsNewBaton && type != null;
+    }
+
+    void add(Placement p) {
+        placements.put(p.task, p);
+        JobSpec s = p.job.spec;
+        cpuUsed += s.cpuMillis();
+        gpuUsed += s.gpuMillis();
+        memoryUsed += s.memoryMillis();
+        images.remove(s.image());
+        images.add(s.image());
+        if (images.size() > IMAGES_REMEMBERED) {
+            images.remove(images.iterator().next());
+        }
+    }
+
+    void remove(Placement p, long nowMicros) {
+        if (placements.remove(p.task, p)) {
+            JobSpec s = p.job.spec;
+            cpuUsed -= s.cpuMillis();
+            gpuUsed -= s.gpuMillis();
+            memoryUsed -= s.memoryMillis();
+            if (placements.isEmpty()) {
+                idleSinceMicros = nowMicros;
+            }
+        }
+    }
+
+    boolean hasImage(String image) {
+        return images.contains(image);
+    }
+
+    long cpuFree() {
+        return type == null ? 0 : type.cpuMillis() - cpuUsed;
+    }
+
+    boolean hasRoom(JobSpec s) {
+        return type != null && s.cpuMillis() <= type.cpuMillis() - cpuUsed
+                && s.gpuMillis() <= type.gpuMillis() - gpuUsed && s.memoryMillis() <= type.memoryMillis() - memoryUsed;
+    }
+
+    /** Whether a job may use this machine at all, room and other tasks aside. */
+    boolean allowedFor(JobSpec s) {
+        return s.allowsType(typeName) && s.allowsZone(zone) && (s.spot() || !spot);
+    }
+
+    RosterRecord.Host rosterRow(long withBaton) {
+        return new RosterRecord.Host(id, address, typeName, zone, spot, withBaton);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/WorkerPort.java
@@ -0,0 +1,14 @@
+package org.granitepath.coordination;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Direct calls to workers. Every call answers once, later, on the event loop. */
+public interface WorkerPort {
+    /** {@code executed} false: refused, or no answer at all; then {@code report} is null when nothing was heard. */
+    record Reply(boolean executed, Beat report) {}
+
+    void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then);
+
+    void show(String address, Consumer<Reply> then);
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/protocol/StateCodec.java
@@ -0,0 +1,73 @@
+package org.granitepath.protocol;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.StatePort.Guard;
+import org.granitepath.bookkeeping.StatePort.Item;
+import org.granitepath.bookkeeping.StatePort.Outcome;
+import org.granitepath.bookkeeping.StatePort.Page;
+import org.granitepath.bookkeeping.StatePort.Txn;
+
+/** Calls to the state service. */
+public final class StateCodec {
+    private StateCodec() {}
+
+    public static String encodeTxn(Txn txn) {
+        List<Object> guards = new ArrayList<>();
+        for (Guard g : txn.guards()) {
+            guards.add(Map.of("key", g.key(), "stamp", g.stamp()));
+        }
+        List<Object> apply = new ArrayList<>();
+        for (Change c : txn.changes()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            if (c.value() == null) {
+                m.put("remove", c.key());
+            } else {
+                m.put("write", c.key());
+                m.put("v", c.value());
+                if (c.lease() != 0) {
+                    m.put("permit", c.lease());
+                }
+            }
+            apply.add(m);
+        }
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("guards", guards);
+        body.put("apply", apply);
+        return Json.text(body);
+    }
+
+    @SuppressWarnings("unchecked")
+    public static Page decodeList(Map<String, Object> body) {
+        List<Item> items = new ArrayList<>();
+        for (Object o : Fields.listOf(body, "items")) {
+            Map<String, Object> m = (Map<String, Object>) o;
+            items.add(new Item(Fields.textOf(m, "key"), Fields.mapOf(m, "v"), Fields.longOf(m, "stamp", 0)));
+        }
+        return new Page(Outcome.OK, items, Fields.boolOf(body, "has_next"), Fields.longOf(body, "epoch", 0));
+    }
+
+    @SuppressWarnings("unchecked")
+    public static Page decodeFollow(Map<String, Object> body) {
+        List<Item> items = new ArrayList<>();
+        for (Object o : Fields.listOf(body, "events")) {
+            Map<String, Object> m = (Map<String, Object>) o;
+            String written = Fields.textOf(m, "write");
+            items.add(new Item(written != null ? written : Fields.textOf(m, "remove"),
+                    written != null ? Fields.mapOf(m, "v") : null, Fields.longOf(m, "stamp", 0)));
+        }
+        return new Page(Outcome.OK, items, false, Fields.longOf(body, "epoch", 0));
+    }
+
+    public static String encodeLease(long lifeMicros) {
+        return Json.text(Map.of("life_ms", lifeMicros / 1000));
+    }
+
+    public static long decodeLease(Map<String, Object> body) {
+        return Fields.longOf(body, "permit", 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/protocol/WorkerCodec.java
@@ -0,0 +1,117 @@
+package org.granitepath.protocol;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.Beat.Cause;
+import org.granitepath.coordination.Beat.TaskReport;
+import org.granitepath.coordination.Beat.TaskState;
+import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Order;
+import org.granitepath.coordination.TaskId;
+
+/** Reports of workers and commands to them. */
+public final class WorkerCodec {
+    private WorkerCodec() {}
+
+    /** Null when it is no report. */
+    public static Beat decodeBeat(String body) {
+        Map<String, Object> m = Json.object(body);
+        if (m == null || Fields.textOf(m, "host") == null || Fields.textOf(m, "address") == null
+                || Fields.textOf(m, "model") == null || Fields.textOf(m, "site") == null
+                || !(m.get("shift") instanceof Number) || !(m.get("tally") instanceof Number)) {
+            return null;
+        }
+        List<TaskReport> tasks = new ArrayList<>();
+        for (Object o : Fields.listOf(m, "pieces")) {
+            if (!(o instanceof Map<?, ?>)) {
+                return null;
+            }
+            @SuppressWarnings("unchecked")
+            TaskReport r = decodeTask((Map<String, Object>) o);
+            if (r == null) {
+                return null;
+            }
+            tasks.add(r);
+        }
+        double notice = Fields.doubleOf(m, "warning_s", -1);
+        return new Beat(Fields.textOf(m, "host"), Fields.textOf(m, "address"), Fields.textOf(m, "model"),
+                Fields.textOf(m, "site"), Fields.boolOf(m, "loaner"), Fields.longOf(m, "shift", 0),
+                Fields.longOf(m, "tally", 0), Fields.longOf(m, "baton", 0),
+                notice < 0 ? -1 : Math.round(notice * 1e6), tasks);
+    }
+
+    private static TaskReport decodeTask(Map<String, Object> m) {
+        String piece = Fields.textOf(m, "piece");
+        String status = Fields.textOf(m, "status");
+        int slash = piece == null ? -1 : piece.lastIndexOf('/');
+        if (slash < 0 || status == null) {
+            return null;
+        }
+        TaskId id;
+        try {
+            id = new TaskId(piece.substring(0, slash), Integer.parseInt(piece.substring(slash + 1)));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+        TaskState state = switch (status) {
+            case "running" -> TaskState.RUNNING;
+            case "saving" -> TaskState.SAVING;
+            case "ended" -> TaskState.EXITED;
+            default -> TaskState.FETCHING;
+        };
+        String cause = Fields.textOf(m, "cause");
+        Cause why = cause == null ? Cause.NONE : switch (cause) {
+            case "done" -> Cause.DONE;
+            case "error" -> Cause.FAILED;
+            case "full" -> Cause.NO_ROOM;
+            case "in_use" -> Cause.BUSY;
+            case "no_such" -> Cause.UNKNOWN_JOB;
+            default -> Cause.STOPPED;
+        };
+        return new TaskReport(id, Fields.longOf(m, "try", 0), state, why, Fields.boolOf(m, "kept"));
+    }
+
+    public static int httpStatus(BeatAnswer answer) {
+        return answer instanceof BeatAnswer.Accepted ? 200 : answer instanceof BeatAnswer.Elsewhere ? 421 : 503;
+    }
+
+    public static String encode(BeatAnswer answer) {
+        if (answer instanceof BeatAnswer.Accepted a) {
+            return encodeOrders(a.baton(), -1, a.orders());
+        }
+        if (answer instanceof BeatAnswer.Elsewhere e && e.node() != null) {
+            return Json.text(Map.of("supervisor", e.node()));
+        }
+        return "{}";
+    }
+
+    /** {@code session} negative: left out, as in the answer to a report. */
+    public static String encodeOrders(long baton, long session, List<Order> orders) {
+        List<Object> list = new ArrayList<>(orders.size());
+        for (Order o : orders) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("verb", switch (o.verb()) {
+                case START -> "start";
+                case STOP -> "halt";
+                case FORGET -> "clear";
+            });
+            m.put("piece", o.task().toString());
+            m.put("try", o.attempt());
+            if (o.verb() == Order.Verb.STOP) {
+                m.put("leeway_s", o.graceMicros() / 1e6);
+            }
+            list.add(m);
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("baton", baton);
+        if (session >= 0) {
+            m.put("shift", session);
+        }
+        m.put("orders", list);
+        return Json.text(m);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/EventLoop.java
@@ -0,0 +1,83 @@
+package org.granitepath.transport;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** The one thread that owns all state. */
+public final class EventLoop implements Timers {
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int POOLED_BUFFERS = 256;
+
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+
+    public EventLoop() throws IOException {
+        worker = Xnio.getInstance("nio", EventLoop.class.getClassLoader()).createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.STACK_SIZE, 256L * 1024)
+                .set(Options.THREAD_DAEMON, false)
+                .getMap());
+        thread = worker.getIoThread();
+        buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
+    }
+
+    public XnioWorker worker() {
+        return worker;
+    }
+
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    public ByteBufferPool buffers() {
+        return buffers;
+    }
+
+    /** Runs on the event loop, soon. */
+    public void run(Runnable action) {
+        thread.execute(guarded(action));
+    }
+
+    @Override
+    public long nowMicros() {
+        return System.nanoTime() / 1000;
+    }
+
+    @Override
+    public long timeOfDayMicros() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    @Override
+    public void after(long delayMicros, Runnable action) {
+        if (delayMicros <= 0) {
+            run(action);
+        } else {
+            thread.executeAfter(guarded(action), Math.max(1, delayMicros / 1000), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    static Runnable guarded(Runnable action) {
+        return () -> {
+            try {
+                action.run();
+            } catch (RuntimeException e) {
+                LOG.error("an event could not be handled", e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/HttpCalls.java
@@ -0,0 +1,185 @@
+package org.granitepath.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.StringReadChannelListener;
+import io.undertow.util.StringWriteChannelListener;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+
+/** Outgoing HTTP requests, one at a time on a connection; each ends with an answer or, in time, without one. */
+public final class HttpCalls {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpCalls.class);
+    private static final int IDLE_KEPT = 4;
+
+    /** {@code status} 0: no answer. */
+    public interface Reply {
+        void done(int status, String body);
+    }
+
+    private final EventLoop loop;
+    private final Map<String, ArrayDeque<ClientConnection>> idle = new HashMap<>();
+
+    public HttpCalls(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** @param keep whether the connection is kept for later requests to the same address */
+    public void call(String address, HttpString method, String path, String body, long timeoutMicros, boolean keep,
+                     Reply reply) {
+        new Call(address, method, path, body, keep, reply).begin(timeoutMicros);
+    }
+
+    private final class Call {
+        private final String address;
+        private final HttpString method;
+        private final String path;
+        private final String body;
+        private final boolean keep;
+        private final Reply reply;
+        private ClientConnection connection;
+        private XnioExecutor.Key timer;
+        private boolean over;
+
+        Call(String address, HttpString method, String path, String body, boolean keep, Reply reply) {
+            this.address = address;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.keep = keep;
+            this.reply = reply;
+        }
+
+        void begin(long timeoutMicros) {
+            timer = loop.thread().executeAfter(EventLoop.guarded(() -> fail("timed out")), timeoutMicros / 1000,
+                    java.util.concurrent.TimeUnit.MILLISECONDS);
+            ArrayDeque<ClientConnection> kept = idle.get(address);
+            while (keep && kept != null && !kept.isEmpty()) {
+                ClientConnection c = kept.pop();
+                if (c.isOpen()) {
+                    send(c);
+                    return;
+                }
+            }
+            UndertowClient.getInstance().connect(new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection c) {
+                    if (over) {
+                        IoUtils.safeClose(c);
+                    } else {
+                        send(c);
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(String.valueOf(e.getMessage()));
+                }
+            }, URI.create("http://" + address), loop.thread(), loop.buffers(),
+                    OptionMap.create(Options.TCP_NODELAY, true));
+        }
+
+        private void send(ClientConnection c) {
+            connection = c;
+            ClientRequest request = new ClientRequest().setMethod(method).setPath(path);
+            request.getRequestHeaders().put(Headers.HOST, address);
+            if (!keep) {
+                request.getRequestHeaders().put(Headers.CONNECTION, "close");
+            }
+            if (body != null) {
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                request.getRequestHeaders().put(Headers.CONTENT_LENGTH,
+                        Integer.toString(body.getBytes(StandardCharsets.UTF_8).length));
+            }
+            c.sendRequest(request, new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    exchange.setResponseListener(new ClientCallback<>() {
+                        @Override
+                        public void completed(ClientExchange answered) {
+                            read(answered);
+                        }
+
+                        @Override
+                        public void failed(IOException e) {
+                            fail(String.valueOf(e.getMessage()));
+                        }
+                    });
+                    if (body != null) {
+                        new StringWriteChannelListener(body, StandardCharsets.UTF_8).setup(
+                                exchange.getRequestChannel());
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail(String.valueOf(e.getMessage()));
+                }
+            });
+        }
+
+        private void read(ClientExchange exchange) {
+            int status = exchange.getResponse().getResponseCode();
+            new StringReadChannelListener(loop.buffers()) {
+                @Override
+                protected void stringDone(String text) {
+                    finish(status, text);
+                }
+
+                @Override
+                protected void error(IOException e) {
+                    fail(String.valueOf(e.getMessage()));
+                }
+            }.setup(exchange.getResponseChannel());
+        }
+
+        private void finish(int status, String text) {
+            if (over) {
+                return;
+            }
+            over = true;
+            timer.remove();
+            ClientConnection c = connection;
+            if (keep && c.isOpen()) {
+                // Only after the exchange has been closed by the client may the connection take the next request.
+                loop.run(() -> {
+                    ArrayDeque<ClientConnection> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+                    if (c.isOpen() && kept.size() < IDLE_KEPT) {
+                        kept.push(c);
+                    } else {
+                        IoUtils.safeClose(c);
+                    }
+                });
+            } else {
+                IoUtils.safeClose(c);
+            }
+            EventLoop.guarded(() -> reply.done(status, text)).run();
+        }
+
+        private void fail(String why) {
+            if (over) {
+                return;
+            }
+            over = true;
+            timer.remove();
+            LOG.debug("{} {}{}: {}", method, address, path, why);
+            IoUtils.safeClose(connection);
+            EventLoop.guarded(() -> reply.done(0, null)).run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/ServiceServer.java
@@ -0,0 +1,120 @@
+package org.granitepath.transport;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.charset.StandardCharsets;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Controller;
+import org.granitepath.coordination.UserAnswer;
+import org.granitepath.protocol.Json;
+import org.granitepath.protocol.SubmissionCodec;
+import org.granitepath.protocol.WorkerCodec;
+
+/** What users, workers and health checks talk to. */
+public final class ServiceServer {
+    private static final int MOST_BODY_BYTES = 64 * 1024;
+    private static final int PARSE_TIMEOUT_MILLIS = 10_000;
+    private static final String JOBS = "/submissions";
+    private static final String CANCEL = "/cancel";
+
+    private final Controller controller;
+
+    public ServiceServer(Controller controller) {
+        this.controller = controller;
+    }
+
+    /** Begins to listen; requests are handled on the event loop. */
+    public Undertow listen(EventLoop loop, String host, int port) {
+        Undertow server = Undertow.builder()
+                .setWorker(loop.worker())
+                .setByteBufferPool(loop.buffers())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_BODY_BYTES)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .addHttpListener(port, host)
+                .setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
+                        EventLoop.guarded(() -> route(exchange))))
+                .build();
+        server.start();
+        return server;
+    }
+
+    private void route(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        boolean post = exchange.getRequestMethod().equals(Methods.POST);
+        boolean get = exchange.getRequestMethod().equals(Methods.GET);
+        if (path.equals("/agent/beat") && post) {
+            body(exchange, text -> beat(exchange, text));
+        } else if (path.equals("/up") && get) {
+            boolean up = controller.healthy();
+            reply(exchange, up ? 200 : 503, up ? "{}" : "{\"error\":\"starting\"}");
+        } else if (path.equals(JOBS) && post) {
+            body(exchange, text -> submit(exchange, text));
+        } else if (path.startsWith(JOBS + "/")) {
+            String rest = path.substring(JOBS.length() + 1);
+            boolean cancel = rest.endsWith(CANCEL);
+            String id = cancel ? rest.substring(0, rest.length() - CANCEL.length()) : rest;
+            if (!(cancel ? post : get)) {
+                reply(exchange, 405, "{\"error\":\"method not allowed\"}");
+            } else if (!SubmissionCodec.isJobId(id)) {
+                answer(exchange, new UserAnswer.NotFound());
+            } else if (cancel) {
+                body(exchange, text -> controller.cancel(id, a -> answer(exchange, a)));
+            } else {
+                controller.poll(id, a -> answer(exchange, a));
+            }
+        } else {
+            reply(exchange, 404, "{\"error\":\"no such path\"}");
+        }
+    }
+
+    private void submit(HttpServerExchange exchange, String text) {
+        try {
+            controller.submit(SubmissionCodec.decode(text), a -> answer(exchange, a));
+        } catch (SubmissionCodec.Malformed e) {
+            reply(exchange, 400, Json.text(java.util.Map.of("error", e.getMessage())));
+        }
+    }
+
+    private void beat(HttpServerExchange exchange, String text) {
+        Beat beat = WorkerCodec.decodeBeat(text);
+        if (beat == null) {
+            reply(exchange, 400, "{\"error\":\"not a report\"}");
+            return;
+        }
+        BeatAnswer answer = controller.beat(beat);
+        reply(exchange, WorkerCodec.httpStatus(answer), WorkerCodec.encode(answer));
+    }
+
+    private interface Taker {
+        void take(String text);
+    }
+
+    private static void body(HttpServerExchange exchange, Taker then) {
+        exchange.getRequestReceiver().receiveFullBytes(
+                (ex, bytes) -> EventLoop.guarded(() -> then.take(new String(bytes, StandardCharsets.UTF_8))).run(),
+                (ex, e) -> reply(ex, 400, "{\"error\":\"unreadable or over 64 KiB\"}"));
+    }
+
+    private static void answer(HttpServerExchange exchange, UserAnswer answer) {
+        if (answer instanceof UserAnswer.TryLater later) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Integer.toString(later.afterSeconds()));
+        }
+        reply(exchange, SubmissionCodec.httpStatus(answer), SubmissionCodec.encode(answer));
+    }
+
+    private static void reply(HttpServerExchange exchange, int status, String text) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/StateClient.java
@@ -0,0 +1,81 @@
+package org.granitepath.transport;
+
+import io.undertow.util.Methods;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.protocol.Json;
+import org.granitepath.protocol.StateCodec;
+
+/** The state service over HTTP. */
+public final class StateClient implements StatePort {
+    private static final long TIMEOUT_MICROS = 2_000_000;
+
+    private final HttpCalls http;
+    private final String address;
+
+    public StateClient(HttpCalls http, String address) {
+        this.http = http;
+        this.address = address;
+    }
+
+    @Override
+    public void commit(Txn txn, Consumer<Committed> then) {
+        http.call(address, Methods.POST, "/commit", StateCodec.encodeTxn(txn), TIMEOUT_MICROS, true, (status, body) -> {
+            Map<String, Object> m = status == 0 ? null : Json.object(body);
+            Outcome outcome = outcome(status, m);
+            then.accept(new Committed(outcome, m == null ? 0 : Fields.longOf(m, "epoch", 0),
+                    m == null ? List.of() : Fields.listOf(m, "failed").stream().map(String::valueOf).toList()));
+        });
+    }
+
+    @Override
+    public void list(String prefix, String from, int limit, Consumer<Page> then) {
+        String path = "/keys?prefix=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&most=" + limit;
+        http.call(address, Methods.GET, path, null, TIMEOUT_MICROS, true, (status, body) -> {
+            Map<String, Object> m = status == 0 ? null : Json.object(body);
+            then.accept(status == 200 && m != null ? StateCodec.decodeList(m) : failed(outcome(status, m)));
+        });
+    }
+
+    @Override
+    public void follow(String prefix, long from, long waitMicros, Consumer<Page> then) {
+        String path = "/follow?prefix=" + prefix + "&from=" + from + "&wait_ms=" + waitMicros / 1000;
+        http.call(address, Methods.GET, path, null, waitMicros + TIMEOUT_MICROS, true, (status, body) -> {
+            Map<String, Object> m = status == 0 ? null : Json.object(body);
+            then.accept(status == 200 && m != null ? StateCodec.decodeFollow(m) : failed(outcome(status, m)));
+        });
+    }
+
+    @Override
+    public void openLease(long lifeMicros, Consumer<Leased> then) {
+        http.call(address, Methods.POST, "/leases", StateCodec.encodeLease(lifeMicros), TIMEOUT_MICROS, true,
+                (status, body) -> {
+                    Map<String, Object> m = status == 0 ? null : Json.object(body);
+                    then.accept(new Leased(outcome(status, m), m == null ? 0 : StateCodec.decodeLease(m)));
+                });
+    }
+
+    @Override
+    public void touchLease(long lease, Consumer<Outcome> then) {
+        http.call(address, Methods.POST, "/leases/" + lease + "/touch", "{}", TIMEOUT_MICROS / 2, true,
+                (status, body) -> then.accept(status == 200 ? Outcome.OK : outcome(status, Map.of())));
+    }
+
+    private static Page failed(Outcome outcome) {
+        return new Page(outcome, List.of(), false, 0);
+    }
+
+    private static Outcome outcome(int status, Map<String, Object> body) {
+        return switch (status) {
+            case 0 -> Outcome.UNKNOWN;
+            case 200, 201 -> body == null ? Outcome.UNKNOWN : Outcome.OK;
+            case 404 -> Outcome.NOT_FOUND;
+            case 409 -> Outcome.CONFLICT;
+            case 410 -> Outcome.GONE;
+            default -> Outcome.REFUSED;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/WorkerClient.java
@@ -0,0 +1,32 @@
+package org.granitepath.transport;
+
+import io.undertow.util.Methods;
+import java.util.List;
+import java.util.function.Consumer;
+import org.granitepath.coordination.Order;
+import org.granitepath.coordination.WorkerPort;
+import org.granitepath.protocol.WorkerCodec;
+
+/** Direct calls to workers over HTTP. */
+public final class WorkerClient implements WorkerPort {
+    private static final long TIMEOUT_MICROS = 2_000_000;
+
+    private final HttpCalls http;
+
+    public WorkerClient(HttpCalls http) {
+        this.http = http;
+    }
+
+    @Override
+    public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
+        http.call(address, Methods.POST, "/orders", WorkerCodec.encodeOrders(baton, session, orders), TIMEOUT_MICROS,
+                false, (status, body) -> then.accept(new Reply(status == 200,
+                        status == 200 || status == 409 ? WorkerCodec.decodeBeat(body) : null)));
+    }
+
+    @Override
+    public void show(String address, Consumer<Reply> then) {
+        http.call(address, Methods.GET, "/show", null, TIMEOUT_MICROS, false, (status, body) -> then.accept(
+                new Reply(status == 200, status == 200 ? WorkerCodec.decodeBeat(body) : null)));
+    }
+}
