--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -0,0 +1,118 @@
+package org.granitepath.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Rank;
+import org.granitepath.coordination.Config;
+import org.granitepath.coordination.TaskId;
+import org.granitepath.coordination.UserAnswer;
+import org.granitepath.coordination.UserAnswer.JobState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The checkers notice planted violations. */
+class RulesTest {
+    private final World world = new World(1);
+    private final Rules rules = new Rules(world, Map.of("t", new Config.Team("t", 0, 3_000, 0, 0)), 10_000_000);
+
+    @BeforeEach
+    void submit() {
+        rules.submitting(spec("run-1", false, false));
+        rules.submitting(spec("run-2", true, false));
+        rules.submitting(spec("run-3", false, true));
+    }
+
+    private static JobSpec spec(String id, boolean spread, boolean oneZone) {
+        return new JobSpec(id, "c", "t", false, Rank.HIGH, 2, 1_000, 0, 1_000, "i", 1, null, null, oneZone, spread,
+                false, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+    }
+
+    private void assertBroken(String rule) {
+        assertEquals(1, rules.broken.size(), rules.broken.toString());
+        assertTrue(rules.broken.get(0).startsWith(rule), rules.broken.toString());
+    }
+
+    private void start(String job, int index, String host, String zone) {
+        rules.started(new TaskId(job, index), host, "m", zone, false);
+    }
+
+    private static UserAnswer status(String job, JobState state) {
+        return new UserAnswer.Status(false, job, state, 0, 0);
+    }
+
+    @Test
+    void keptRulesAreNotCalledBroken() {
+        start("run-1", 0, "a", "z");
+        rules.left(new TaskId("run-1", 0), "a");
+        start("run-1", 0, "b", "z");
+        start("run-2", 0, "a", "z");
+        start("run-2", 1, "b", "y");
+        assertTrue(rules.broken.isEmpty(), rules.broken.toString());
+    }
+
+    @Test
+    void sameTaskOnTwoMachines() {
+        start("run-1", 0, "a", "z");
+        start("run-1", 0, "b", "z");
+        assertBroken("ran_twice");
+    }
+
+    @Test
+    void spotMachineNotAllowed() {
+        rules.started(new TaskId("run-1", 0), "a", "m", "z", true);
+        assertBroken("wrong_place");
+    }
+
+    @Test
+    void scatterInOneZone() {
+        start("run-2", 0, "a", "z");
+        start("run-2", 1, "b", "z");
+        assertBroken("wrong_place");
+    }
+
+    @Test
+    void samePlaceInTwoZones() {
+        start("run-3", 0, "a", "z");
+        start("run-3", 1, "b", "y");
+        assertBroken("wrong_place");
+    }
+
+    @Test
+    void teamOverItsLimit() {
+        start("run-1", 0, "a", "z");
+        start("run-1", 1, "a", "z");
+        start("run-3", 0, "a", "z");
+        assertTrue(rules.broken.isEmpty());
+        start("run-3", 1, "a", "z");
+        assertBroken("quota");
+    }
+
+    @Test
+    void cancelledTaskOverstays() {
+        start("run-1", 0, "a", "z");
+        rules.cancelling("run-1");
+        rules.told("run-1", status("run-1", JobState.CANCELLED));
+        world.run(10_000_000, () -> { });
+        rules.check();
+        assertTrue(rules.broken.isEmpty());
+        world.run(10_000_001, () -> { });
+        rules.check();
+        assertBroken("ran_cancelled");
+    }
+
+    @Test
+    void wrongAnswers() {
+        rules.told("run-1", status("run-1", JobState.PENDING));
+        rules.told("run-1", new UserAnswer.NotFound());
+        assertBroken("forgotten");
+        rules.broken.clear();
+        rules.told("run-1", status("run-1", JobState.DONE));
+        assertBroken("not_done");
+        rules.broken.clear();
+        rules.told("run-1", status("run-1", JobState.RUNNING));
+        assertBroken("went_back");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -0,0 +1,242 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.protocol.Json;
+
+/** A stand-in for the state service. Values pass through JSON text, as over the wire. */
+final class SimState {
+    static final String NAME = "state";
+    private static final long TIMEOUT = 2_000_000;
+    private static final int LOG_KEPT = 400;
+
+    private record Stored(String json, long stamp, long lease) {}
+
+    private record Logged(String key, String json, long stamp) {}
+
+    private static final class Watch {
+        String prefix;
+        long from;
+        Consumer<StatePort.Page> answer;
+        boolean over;
+    }
+
+    private final World world;
+    private final TreeMap<String, Stored> keys = new TreeMap<>();
+    private final List<Logged> log = new ArrayList<>();
+    private final Map<Long, Long> leaseEnds = new HashMap<>();
+    private final Map<Long, Long> leaseLives = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final Set<String> refused = new HashSet<>();
+    private final int txnOps;
+    private final int valueBytes;
+    private boolean outage;
+    private long epoch;
+    private long leases;
+    int oversized;
+
+    SimState(World world, int txnOps, int valueBytes) {
+        this.world = world;
+        this.txnOps = txnOps;
+        this.valueBytes = valueBytes;
+        world.after(50_000, this::expire);
+    }
+
+    void setOutage(boolean now) {
+        if (outage && !now) {
+            leaseEnds.replaceAll((id, end) -> world.now() + leaseLives.get(id));
+        }
+        outage = now;
+        wake();
+    }
+
+    void refuse(String node, boolean now) {
+        if (now) {
+            refused.add(node);
+        } else {
+            refused.remove(node);
+        }
+        wake();
+    }
+
+    private boolean away(String node) {
+        return outage || refused.contains(node);
+    }
+
+    private void expire() {
+        world.after(50_000, this::expire);
+        if (outage) {
+            return;
+        }
+        List<Long> over = leaseEnds.entrySet().stream().filter(e -> e.getValue() < world.now()).map(Map.Entry::getKey)
+                .sorted().toList();
+        for (long id : over) {
+            leaseEnds.remove(id);
+            List<String> gone = keys.entrySet().stream().filter(e -> e.getValue().lease() == id)
+                    .map(Map.Entry::getKey).toList();
+            for (String key : gone) {
+                epoch++;
+                keys.remove(key);
+                log.add(new Logged(key, null, epoch));
+            }
+        }
+        wake();
+    }
+
+    private void wake() {
+        for (Watch w : new ArrayList<>(watches)) {
+            deliver(w, false);
+        }
+    }
+
+    private void deliver(Watch w, boolean evenEmpty) {
+        if (w.over) {
+            return;
+        }
+        StatePort.Page page = changes(w.prefix, w.from);
+        if (evenEmpty || !page.items().isEmpty()) {
+            w.over = true;
+            watches.remove(w);
+            w.answer.accept(page);
+        }
+    }
+
+    private StatePort.Page changes(String prefix, long from) {
+        if (log.size() > LOG_KEPT) {
+            log.subList(0, log.size() - LOG_KEPT).clear();
+        }
+        if (from < epoch && !log.isEmpty() && log.get(0).stamp() > from + 1) {
+            return new StatePort.Page(StatePort.Outcome.GONE, List.of(), false, epoch);
+        }
+        List<StatePort.Item> items = new ArrayList<>();
+        for (Logged l : log) {
+            if (l.stamp() > from && l.key().startsWith(prefix)) {
+                items.add(new StatePort.Item(l.key(), l.json() == null ? null : Json.object(l.json()), l.stamp()));
+            }
+        }
+        return new StatePort.Page(StatePort.Outcome.OK, items, false, epoch);
+    }
+
+    private StatePort.Committed commit(StatePort.Txn txn) {
+        if (txn.changes().size() > txnOps) {
+            oversized++;
+        }
+        List<String> failed = new ArrayList<>();
+        for (StatePort.Guard g : txn.guards()) {
+            Stored s = keys.get(g.key());
+            if ((s == null ? 0 : s.stamp()) != g.stamp()) {
+                failed.add(g.key());
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new StatePort.Committed(StatePort.Outcome.CONFLICT, epoch, failed);
+        }
+        for (StatePort.Change c : txn.changes()) {
+            if (c.lease() != 0 && !leaseEnds.containsKey(c.lease())) {
+                return new StatePort.Committed(StatePort.Outcome.REFUSED, epoch, List.of());
+            }
+        }
+        epoch++;
+        for (StatePort.Change c : txn.changes()) {
+            String json = c.value() == null ? null : Json.text(c.value());
+            if (json != null && json.length() > valueBytes) {
+                oversized++;
+            }
+            if (json == null) {
+                keys.remove(c.key());
+            } else {
+                keys.put(c.key(), new Stored(json, epoch, c.lease()));
+            }
+            log.add(new Logged(c.key(), json, epoch));
+        }
+        wake();
+        return new StatePort.Committed(StatePort.Outcome.OK, epoch, List.of());
+    }
+
+    /** The service as one node reaches it. */
+    StatePort portFor(String node) {
+        return new StatePort() {
+            @Override
+            public void commit(Txn txn, Consumer<Committed> then) {
+                world.call(node, NAME, TIMEOUT, () -> away(node)
+                        ? new Committed(Outcome.REFUSED, 0, List.of()) : SimState.this.commit(txn),
+                        c -> then.accept(c == null ? new Committed(Outcome.UNKNOWN, 0, List.of()) : c));
+            }
+
+            @Override
+            public void list(String prefix, String from, int limit, Consumer<Page> then) {
+                world.call(node, NAME, TIMEOUT, () -> {
+                    if (away(node)) {
+                        return new Page(Outcome.REFUSED, List.of(), false, 0);
+                    }
+                    List<Item> items = new ArrayList<>();
+                    boolean more = false;
+                    for (var e : keys.tailMap(from.isEmpty() ? prefix : from, from.isEmpty()).entrySet()) {
+                        if (!e.getKey().startsWith(prefix)) {
+                            break;
+                        }
+                        if (items.size() == Math.min(limit, 20)) {
+                            more = true;
+                            break;
+                        }
+                        items.add(new Item(e.getKey(), Json.object(e.getValue().json()), e.getValue().stamp()));
+                    }
+                    return new Page(Outcome.OK, items, more, epoch);
+                }, p -> then.accept(p == null ? new Page(Outcome.UNKNOWN, List.of(), false, 0) : p));
+            }
+
+            @Override
+            public void follow(String prefix, long from, long waitMicros, Consumer<Page> then) {
+                world.<Page>callLater(node, NAME, TIMEOUT + waitMicros, answer -> {
+                    if (away(node)) {
+                        answer.accept(new Page(Outcome.REFUSED, List.of(), false, 0));
+                        return;
+                    }
+                    Watch w = new Watch();
+                    w.prefix = prefix;
+                    w.from = from;
+                    w.answer = answer;
+                    watches.add(w);
+                    deliver(w, waitMicros == 0);
+                    if (!w.over) {
+                        world.after(waitMicros, () -> deliver(w, true));
+                    }
+                }, p -> then.accept(p == null ? new Page(Outcome.UNKNOWN, List.of(), false, 0) : p));
+            }
+
+            @Override
+            public void openLease(long lifeMicros, Consumer<Leased> then) {
+                world.call(node, NAME, TIMEOUT, () -> {
+                    if (away(node)) {
+                        return new Leased(Outcome.REFUSED, 0);
+                    }
+                    leases++;
+                    leaseLives.put(leases, lifeMicros);
+                    leaseEnds.put(leases, world.now() + lifeMicros);
+                    return new Leased(Outcome.OK, leases);
+                }, l -> then.accept(l == null ? new Leased(Outcome.UNKNOWN, 0) : l));
+            }
+
+            @Override
+            public void touchLease(long lease, Consumer<Outcome> then) {
+                world.call(node, NAME, TIMEOUT / 2, () -> {
+                    if (away(node)) {
+                        return Outcome.REFUSED;
+                    }
+                    if (!leaseEnds.containsKey(lease)) {
+                        return Outcome.NOT_FOUND;
+                    }
+                    leaseEnds.put(lease, world.now() + leaseLives.get(lease));
+                    return Outcome.OK;
+                }, o -> then.accept(o == null ? Outcome.UNKNOWN : o));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -0,0 +1,323 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.Beat.Cause;
+import org.granitepath.coordination.Beat.TaskReport;
+import org.granitepath.coordination.Beat.TaskState;
+import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Order;
+import org.granitepath.coordination.TaskId;
+import org.granitepath.protocol.WorkerCodec;
+
+/** A stand-in for a machine's worker, as the protocol describes it. */
+final class SimWorker {
+    private static final long TICK = 100_000;
+    private static final long PATIENCE = 4_000_000;
+
+    private static final class Run {
+        final TaskId task;
+        final long attempt;
+        TaskState state = TaskState.FETCHING;
+        Cause cause = Cause.NONE;
+        boolean saved;
+        long until;
+
+        Run(TaskId task, long attempt) {
+            this.task = task;
+            this.attempt = attempt;
+        }
+    }
+
+    /** How the controllers answer a report that has reached one of them. */
+    interface Controllers {
+        List<String> names();
+
+        BeatAnswer beat(String node, Beat beat);
+    }
+
+    private final World world;
+    private final Rules rules;
+    private final Controllers controllers;
+    private final Function<String, JobSpec> jobs;
+    private final Set<TaskId> results;
+    final String id;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    private final long reportMicros;
+    private final long leaseMicros;
+    private final Map<String, Run> runs = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
+    private long session = 1;
+    private long sequence;
+    private long baton;
+    private long leaseFrom;
+    private long nextReport;
+    private int at;
+    private boolean reporting;
+    private boolean changed;
+    private boolean dead;
+    private boolean hanging;
+    /** A machine on which every task fails. */
+    boolean faulty;
+    private long noticeEnd = -1;
+
+    SimWorker(World world, Rules rules, Controllers controllers, Function<String, JobSpec> jobs, Set<TaskId> results,
+              String id, MachineType type, String zone, boolean spot, long reportMicros, long leaseMicros) {
+        this.world = world;
+        this.rules = rules;
+        this.controllers = controllers;
+        this.jobs = jobs;
+        this.results = results;
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.reportMicros = reportMicros;
+        this.leaseMicros = leaseMicros;
+        this.leaseFrom = world.now();
+        this.at = world.random.nextInt(controllers.names().size());
+        tick();
+    }
+
+    boolean alive() {
+        return !dead;
+    }
+
+    void die() {
+        if (!dead) {
+            dead = true;
+            killAll();
+            world.setDown(id, true);
+        }
+    }
+
+    void hang(boolean now) {
+        hanging = now;
+        if (!now && !dead) {
+            expireIfDue();
+        }
+    }
+
+    void notice(long micros) {
+        noticeEnd = world.now() + micros;
+        changed = true;
+    }
+
+    private void killAll() {
+        for (Run r : runs.values()) {
+            if (r.state == TaskState.RUNNING || r.state == TaskState.SAVING) {
+                rules.left(r.task, id);
+            }
+        }
+        runs.clear();
+    }
+
+    private void expireIfDue() {
+        if (world.now() - leaseFrom > leaseMicros) {
+            killAll();
+            session++;
+            leaseFrom = world.now();
+            changed = true;
+        }
+    }
+
+    private void tick() {
+        if (dead) {
+            return;
+        }
+        world.after(TICK, this::tick);
+        // A hanging machine executes nothing, and its first act on going on is to see that its lease is over.
+        expireIfDue();
+        if (hanging) {
+            return;
+        }
+        for (Run r : runs.values()) {
+            if (r.state != TaskState.EXITED && world.now() >= r.until) {
+                advance(r);
+            }
+        }
+        if (!reporting && (world.now() >= nextReport || changed && world.now() >= nextReport - reportMicros / 2)) {
+            report();
+        }
+    }
+
+    private void advance(Run r) {
+        changed = true;
+        JobSpec spec = jobs.apply(r.task.job());
+        if (r.state == TaskState.FETCHING) {
+            images.add(spec.image());
+            rules.started(r.task, id, type.name(), zone, spot);
+            r.state = TaskState.RUNNING;
+            long run = results.contains(r.task) ? 0 : spec.estimateMicros() / 2
+                    + (long) (world.random.nextDouble() * spec.estimateMicros());
+            r.until = spec.service() ? Long.MAX_VALUE : world.now() + run;
+            if (faulty) {
+                r.until = world.now() + 200_000;
+            }
+        } else {
+            boolean saving = r.state == TaskState.SAVING;
+            end(r, saving ? Cause.STOPPED : faulty ? Cause.FAILED : Cause.DONE);
+            r.saved = saving;
+        }
+    }
+
+    private void end(Run r, Cause cause) {
+        if (r.state == TaskState.RUNNING || r.state == TaskState.SAVING) {
+            rules.left(r.task, id);
+        }
+        if (cause == Cause.DONE) {
+            results.add(r.task);
+            rules.completed(r.task);
+        }
+        r.state = TaskState.EXITED;
+        r.cause = cause;
+        changed = true;
+    }
+
+    private Beat beat() {
+        List<TaskReport> list = new ArrayList<>();
+        for (Run r : runs.values()) {
+            list.add(new TaskReport(r.task, r.attempt, r.state, r.cause, r.saved));
+        }
+        return new Beat(id, id, type.name(), zone, spot, session, ++sequence, baton,
+                noticeEnd < 0 ? -1 : Math.max(0, noticeEnd - world.now()), list);
+    }
+
+    private void report() {
+        reporting = true;
+        changed = false;
+        long sent = world.now();
+        long ofSession = session;
+        String node = controllers.names().get(at);
+        Beat beat = beat();
+        nextReport = sent + reportMicros * 3 / 4 + world.random.nextInt((int) (reportMicros / 2));
+        world.call(id, node, PATIENCE, () -> controllers.beat(node, beat), answer -> {
+            reporting = false;
+            if (dead) {
+                return;
+            }
+            // A hanging machine reads its answers when it goes on, and drops those that are too old.
+            if (hanging) {
+                answer = null;
+            }
+            if (answer instanceof BeatAnswer.Accepted a) {
+                if (ofSession == session && a.baton() >= baton) {
+                    changed |= a.baton() > baton;
+                    baton = a.baton();
+                    leaseFrom = Math.max(leaseFrom, sent);
+                    execute(a.orders());
+                }
+            } else {
+                String to = answer instanceof BeatAnswer.Elsewhere e ? e.node() : null;
+                int named = to == null ? -1 : controllers.names().indexOf(to);
+                if (named >= 0 && named != at) {
+                    at = named;
+                    nextReport = world.now() + world.random.nextInt(500_000);
+                } else {
+                    at = (at + 1) % controllers.names().size();
+                    nextReport = world.now() + 1_000_000;
+                }
+            }
+        });
+    }
+
+    /** A direct command. Null: hanging, no answer. */
+    org.granitepath.coordination.WorkerPort.Reply orders(long withBaton, long withSession, List<Order> orders) {
+        expireIfDue();
+        boolean ok = withBaton >= baton && withSession == session;
+        if (ok) {
+            changed |= withBaton > baton;
+            baton = withBaton;
+            execute(orders);
+        }
+        return new org.granitepath.coordination.WorkerPort.Reply(ok, beat());
+    }
+
+    org.granitepath.coordination.WorkerPort.Reply show() {
+        expireIfDue();
+        return new org.granitepath.coordination.WorkerPort.Reply(true, beat());
+    }
+
+    boolean hangs() {
+        return hanging;
+    }
+
+    private void execute(List<Order> orders) {
+        for (Order o : orders) {
+            // Through the wire's words and back, as between real processes.
+            assert WorkerCodec.encodeOrders(baton, session, List.of(o)) != null;
+            String key = o.task() + "#" + o.attempt();
+            Run r = runs.get(key);
+            switch (o.verb()) {
+                case START -> {
+                    if (r == null) {
+                        start(o, key);
+                    }
+                }
+                case STOP -> {
+                    if (r != null && r.state != TaskState.EXITED) {
+                        stop(r, o.graceMicros());
+                    }
+                }
+                case FORGET -> {
+                    if (r != null && r.state == TaskState.EXITED) {
+                        runs.remove(key);
+                    }
+                }
+            }
+        }
+    }
+
+    private void start(Order o, String key) {
+        changed = true;
+        Run r = new Run(o.task(), o.attempt());
+        JobSpec spec = jobs.apply(o.task().job());
+        runs.put(key, r);
+        if (spec == null || o.task().index() >= spec.tasks()) {
+            r.state = TaskState.EXITED;
+            r.cause = Cause.UNKNOWN_JOB;
+            return;
+        }
+        long cpu = spec.cpuMillis();
+        long memory = spec.memoryMillis();
+        boolean busy = false;
+        for (Iterator<Run> it = runs.values().iterator(); it.hasNext(); ) {
+            Run other = it.next();
+            if (other != r && other.state != TaskState.EXITED) {
+                JobSpec s = jobs.apply(other.task.job());
+                cpu += s.cpuMillis();
+                memory += s.memoryMillis();
+                busy |= other.task.equals(r.task);
+            }
+        }
+        if (busy || cpu > type.cpuMillis() || memory > type.memoryMillis()) {
+            r.state = TaskState.EXITED;
+            r.cause = busy ? Cause.BUSY : Cause.NO_ROOM;
+            return;
+        }
+        r.until = world.now() + (images.contains(spec.image()) ? 0
+                : (long) (spec.imageGb() / type.fetchGbPerSecond() * 1e6));
+    }
+
+    private void stop(Run r, long grace) {
+        JobSpec spec = jobs.apply(r.task.job());
+        if (r.state == TaskState.RUNNING && spec.checkpointMicros() > 0 && grace >= spec.saveMicros()) {
+            r.state = TaskState.SAVING;
+            r.until = world.now() + spec.saveMicros();
+            changed = true;
+        } else if (r.state != TaskState.SAVING || grace == 0) {
+            end(r, Cause.STOPPED);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -0,0 +1,317 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.bookkeeping.Rank;
+import org.granitepath.bookkeeping.Timers;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Config;
+import org.granitepath.coordination.Controller;
+import org.granitepath.coordination.Order;
+import org.granitepath.coordination.TaskId;
+import org.granitepath.coordination.UserAnswer;
+import org.granitepath.coordination.UserAnswer.JobState;
+import org.granitepath.coordination.WorkerPort;
+
+/** Three controllers with stand-ins for all around them, users included, in simulated time from a seed. */
+final class Simulation {
+    static final long SECOND = 1_000_000;
+    private static final long USER_TIMEOUT = 5 * SECOND;
+    private static final List<String> ZONES = List.of("north", "south");
+    private static final Map<String, Config.Team> TEAMS = Map.of(
+            "free", new Config.Team("free", 0, 0, 0, 0),
+            "tight", new Config.Team("tight", 0, 12_000, 0, 0));
+
+    private final class Node implements Timers {
+        final String name;
+        final double drift;
+        final long skew;
+        int life;
+        Controller controller;
+
+        Node(String name) {
+            this.name = name;
+            this.drift = 1 + world.random.nextDouble() * 0.0005;
+            this.skew = world.random.nextInt(500_000) - 250_000;
+        }
+
+        void boot() {
+            life++;
+            world.setDown(name, false);
+            int ours = life;
+            Config config = new Config(name, name + "-" + life, NODES.stream().filter(n -> !n.equals(name)).toList(),
+                    ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, false)), REPORT, LEASE, CANCEL,
+                    1000, 200, 2048, 8, 5, 4 * SECOND, 250_000, Config.Tuning.defaults());
+            controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), new Timers() {
+                @Override
+                public long nowMicros() {
+                    return Node.this.nowMicros();
+                }
+
+                @Override
+                public long timeOfDayMicros() {
+                    return Node.this.timeOfDayMicros();
+                }
+
+                @Override
+                public void after(long delayMicros, Runnable action) {
+                    world.after((long) (Math.max(0, delayMicros) / drift) + world.random.nextInt(2_000), () -> {
+                        if (life == ours && controller != null) {
+                            action.run();
+                        }
+                    });
+                }
+            });
+            controller.start();
+        }
+
+        void crash() {
+            life++;
+            controller = null;
+            world.setDown(name, true);
+        }
+
+        @Override
+        public long nowMicros() {
+            return (long) (world.now() * drift) + 77;
+        }
+
+        @Override
+        public long timeOfDayMicros() {
+            return world.now() + skew;
+        }
+
+        @Override
+        public void after(long delayMicros, Runnable action) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    static final List<String> NODES = List.of("n0", "n1", "n2");
+    static final long REPORT = SECOND;
+    static final long LEASE = 11 * SECOND;
+    static final long CANCEL = 31 * SECOND;
+
+    final World world;
+    final Rules rules;
+    final SimState state;
+    final SimCloud cloud;
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
+    private final Set<TaskId> results = new HashSet<>();
+    private int submissions;
+    int doneTold;
+
+    Simulation(long seed) {
+        world = new World(seed);
+        rules = new Rules(world, TEAMS, CANCEL);
+        state = new SimState(world, 8, 2048);
+        List<MachineType> types = List.of(
+                new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
+                new MachineType("large", 16_000, 0, 64_000, 1.0, 1.0, 0.3, 5 * SECOND, ZONES));
+        cloud = new SimCloud(world, types, 5, 4 * SECOND, (id, h) -> new SimWorker(world, rules,
+                new SimWorker.Controllers() {
+                    @Override
+                    public List<String> names() {
+                        return NODES;
+                    }
+
+                    @Override
+                    public BeatAnswer beat(String node, Beat beat) {
+                        Controller c = nodes.get(node).controller;
+                        return c == null ? new BeatAnswer.Unavailable() : c.beat(beat);
+                    }
+                }, jobs::get, results, id, types.stream().filter(t -> t.name().equals(h.type())).findFirst()
+                .orElseThrow(), h.zone(), h.spot(), REPORT, LEASE));
+        for (String n : NODES) {
+            nodes.put(n, new Node(n));
+        }
+        nodes.values().forEach(Node::boot);
+    }
+
+    private WorkerPort workerPort(String node) {
+        return new WorkerPort() {
+            @Override
+            public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
+                call(address, w -> w.orders(baton, session, orders), then);
+            }
+
+            @Override
+            public void show(String address, Consumer<Reply> then) {
+                call(address, SimWorker::show, then);
+            }
+
+            private void call(String address, java.util.function.Function<SimWorker, Reply> serve,
+                              Consumer<Reply> then) {
+                world.<Reply>callLater(node, address, 2 * SECOND, answer -> serveWhenAwake(address, serve, answer),
+                        r -> then.accept(r == null ? new Reply(false, null) : r));
+            }
+
+            // A hanging machine carries commands out when it goes on.
+            private void serveWhenAwake(String address, java.util.function.Function<SimWorker, Reply> serve,
+                                        Consumer<Reply> answer) {
+                for (SimWorker w : cloud.workers()) {
+                    if (w.id.equals(address)) {
+                        if (w.hangs()) {
+                            world.after(300_000, () -> serveWhenAwake(address, serve, answer));
+                        } else {
+                            answer.accept(serve.apply(w));
+                        }
+                    }
+                }
+            }
+        };
+    }
+
+    // ---- troubles ----------------------------------------------------------------------------------------------
+
+    void crash(String node, long forMicros) {
+        Node n = nodes.get(node);
+        if (n.controller != null) {
+            n.crash();
+            world.after(forMicros, n::boot);
+        }
+    }
+
+    void cut(String a, String b, World.Cut how, long forMicros) {
+        world.cut(a, b, how);
+        world.after(forMicros, () -> world.heal(a, b));
+    }
+
+    void cutFromWorkers(String node, World.Cut how, long forMicros) {
+        for (SimWorker w : cloud.workers()) {
+            cut(node, w.id, how, forMicros);
+        }
+    }
+
+    void cutMachine(SimWorker w, World.Cut how, long forMicros) {
+        for (String n : NODES) {
+            cut(n, w.id, how, forMicros);
+        }
+    }
+
+    String owner() {
+        return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner()).map(n -> n.name)
+                .findFirst().orElse("n0");
+    }
+
+    String anyNode() {
+        return NODES.get(world.random.nextInt(NODES.size()));
+    }
+
+    SimWorker anyWorker() {
+        List<SimWorker> all = cloud.workers();
+        return all.isEmpty() ? null : all.get(world.random.nextInt(all.size()));
+    }
+
+    // ---- users -------------------------------------------------------------------------------------------------
+
+    JobSpec job(boolean service, int tasks, Rank rank, String team, boolean spot, boolean spread, boolean oneZone,
+                long runMicros, long checkpointMicros) {
+        String id = String.format("run-%06d", ++submissions);
+        return new JobSpec(id, service ? "svc" : "bat", team, service, rank, tasks, service ? 1_000 : 2_000, 0, 3_000,
+                "img-" + world.random.nextInt(3), 1.0, null, null, oneZone, spread, spot, runMicros, checkpointMicros,
+                checkpointMicros > 0 ? SECOND : 0, service ? JobSpec.NO_DEADLINE : 2 * runMicros + 30 * SECOND);
+    }
+
+    JobSpec randomJob() {
+        boolean service = world.random.nextInt(3) == 0;
+        return job(service, 1 + world.random.nextInt(service ? 5 : 12), service ? Rank.CRITICAL
+                : world.random.nextBoolean() ? Rank.STANDARD : Rank.BEST_EFFORT,
+                world.random.nextInt(3) == 0 ? "tight" : "free", !service && world.random.nextBoolean(),
+                service && world.random.nextBoolean(), !service && world.random.nextInt(4) == 0,
+                (2 + world.random.nextInt(15)) * SECOND, world.random.nextInt(2) * 3 * SECOND);
+    }
+
+    /** A user submits, polls to the end and may cancel after a while (negative: never). */
+    void submit(JobSpec spec, long cancelAfter) {
+        jobs.put(spec.id(), spec);
+        rules.submitting(spec);
+        ask(spec.id(), (c, then) -> c.submit(spec, then), answer -> {
+            if (answer instanceof UserAnswer.Status) {
+                if (cancelAfter >= 0) {
+                    world.after(cancelAfter, () -> cancel(spec.id()));
+                }
+                poll(spec.id());
+            } else if (!(answer instanceof UserAnswer.Impossible)) {
+                world.after(2 * SECOND, () -> submit(spec, cancelAfter));
+            }
+        });
+    }
+
+    private void poll(String id) {
+        world.after(5 * SECOND, () -> ask(id, (c, then) -> c.poll(id, then), answer -> {
+            if (rules.finalTold(id) == null || world.random.nextInt(3) > 0) {
+                poll(id);
+            }
+            if (answer instanceof UserAnswer.Status s && s.state() == JobState.DONE) {
+                doneTold++;
+            }
+        }));
+    }
+
+    void cancel(String id) {
+        rules.cancelling(id);
+        ask(id, (c, then) -> c.cancel(id, then), answer -> {
+            if (!(answer instanceof UserAnswer.Status)) {
+                world.after(2 * SECOND, () -> cancel(id));
+            }
+        });
+    }
+
+    private interface Question {
+        void ask(Controller c, Consumer<UserAnswer> then);
+    }
+
+    private final Map<String, Integer> asking = new LinkedHashMap<>();
+
+    private void ask(String id, Question question, Consumer<UserAnswer> then) {
+        String node = anyNode();
+        String user = "user-" + id;
+        // Answers are compared only when the question was put after the earlier answer: so one question at a time.
+        if (asking.getOrDefault(id, 0) > 0) {
+            world.after(200_000, () -> ask(id, question, then));
+            return;
+        }
+        asking.put(id, 1);
+        world.<UserAnswer>callLater(user, node, USER_TIMEOUT, answer -> {
+            Controller c = nodes.get(node).controller;
+            if (c != null) {
+                question.ask(c, answer);
+            }
+        }, answer -> {
+            asking.put(id, 0);
+            if (answer != null) {
+                rules.told(id, answer);
+            }
+            then.accept(answer);
+        });
+    }
+
+    void pollStranger() {
+        String id = "run-999" + world.random.nextInt(1000);
+        ask(id, (c, then) -> c.poll(id, then), answer -> { });
+    }
+
+    List<String> unfinishedBatches() {
+        List<String> list = new ArrayList<>();
+        for (JobSpec s : jobs.values()) {
+            if (!s.service() && rules.acceptedJob(s.id()) && rules.finalTold(s.id()) == null) {
+                list.add(s.id());
+            }
+        }
+        return list;
+    }
+
+    void run(long until) {
+        world.run(until, rules::check);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/World.java
@@ -0,0 +1,123 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Simulated time and network. Everything that happens follows from the seed. */
+final class World {
+    private record Event(long at, long order, Runnable action) {}
+
+    /** What a cut does with packets under way: keeps them for later, or loses them. */
+    enum Cut { HOLD, DROP }
+
+    final Random random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
+            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Map<String, Cut> cuts = new HashMap<>();
+    private final Map<String, ArrayDeque<Runnable>> held = new HashMap<>();
+    private final Map<String, Long> lastArrival = new HashMap<>();
+    private final Set<String> down = new HashSet<>();
+    /** Share of requests of which a copy arrives once more, much later. */
+    double lateCopies;
+    private long now;
+    private long order;
+
+    World(long seed) {
+        random = new Random(seed);
+    }
+
+    long now() {
+        return now;
+    }
+
+    void after(long delay, Runnable action) {
+        events.add(new Event(now + Math.max(0, delay), order++, action));
+    }
+
+    /** Runs until {@code end}; {@code check} after each step. */
+    void run(long end, Runnable check) {
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.action.run();
+            check.run();
+        }
+        now = end;
+    }
+
+    private static String link(String a, String b) {
+        return a + ">" + b;
+    }
+
+    void cut(String a, String b, Cut how) {
+        cuts.put(link(a, b), how);
+        cuts.put(link(b, a), how);
+    }
+
+    void heal(String a, String b) {
+        for (String l : List.of(link(a, b), link(b, a))) {
+            cuts.remove(l);
+            ArrayDeque<Runnable> queue = held.remove(l);
+            if (queue != null) {
+                for (Runnable r : new ArrayList<>(queue)) {
+                    after(1_000 + random.nextInt(5_000), r);
+                }
+            }
+        }
+    }
+
+    void setDown(String host, boolean isDown) {
+        if (isDown) {
+            down.add(host);
+        } else {
+            down.remove(host);
+        }
+    }
+
+    /** One packet. It arrives late, once, or not at all. */
+    void send(String from, String to, Runnable arrive) {
+        Cut cut = cuts.get(link(from, to));
+        if (down.contains(to) || cut == Cut.DROP) {
+            return;
+        }
+        if (cut == Cut.HOLD) {
+            held.computeIfAbsent(link(from, to), l -> new ArrayDeque<>()).add(arrive);
+            return;
+        }
+        long delay = 300 + random.nextInt(4_000) + (random.nextInt(500) == 0 ? 400_000 : 0);
+        after(delay, arrive);
+    }
+
+    /** A request and its answer. {@code then} is told null when nothing came in time. */
+    <T> void call(String from, String to, long timeout, java.util.function.Supplier<T> serve, Consumer<T> then) {
+        callLater(from, to, timeout, answer -> answer.accept(serve.get()), then);
+    }
+
+    <T> void callLater(String from, String to, long timeout, Consumer<Consumer<T>> serve, Consumer<T> then) {
+        boolean[] over = new boolean[1];
+        Runnable request = () -> serve.accept(value -> send(to, from, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                then.accept(value);
+            }
+        }));
+        send(from, to, request);
+        if (lateCopies > 0 && random.nextDouble() < lateCopies) {
+            after(100_000 + random.nextInt(60_000_000), () -> serve.accept(ignored -> { }));
+        }
+        after(timeout, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                then.accept(null);
+            }
+        });
+    }
+}
