--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -101,12 +101,16 @@
         free.remove(p.task.index());
     }
 
-    /** The placement is proved gone. */
-    void unplace(Placement p) {
+    /** The placement is proved gone; {@code elsewhere}: but the task may be on another machine. */
+    void unplace(Placement p, boolean elsewhere) {
         if (placements.remove(p.task.index(), p)) {
             zoneCounts.addTo(p.machine.zone, -1);
             if (!done.contains(p.task.index()) && phase != Phase.OVER) {
-                free.add(p.task.index());
+                if (elsewhere) {
+                    doubt.add(p.task.index());
+                } else {
+                    free.add(p.task.index());
+                }
             }
         }
     }
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -176,7 +176,8 @@
     // ---- renting -------------------------------------------------------------------------------------------------
 
     private boolean buysFor(ActiveJob job, long now) {
-        if (job.waiting() <= 0 || job.waitingSinceMicros < 0 || job.notBeforeMicros > now) {
+        if (job.waiting() <= 0 || job.waitingSinceMicros < 0 || job.notBeforeMicros > now
+                || !dispatcher.teamAllows(job.spec)) {
             return false;
         }
         if (job.spec.service() || job.spec.hasDeadline()) {
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -399,9 +399,10 @@
             if (p != null && p.attempt == r.attempt()) {
                 listed.add(r.task());
                 p.seen = true;
+                p.certain |= current;
                 p.unansweredBaton = 0;
                 update(m, p, r, now);
-            } else if (meetStranger(m, r, now)) {
+            } else if (meetStranger(m, r, current, now)) {
                 listed.add(r.task());
             }
             if (r.state() == TaskState.EXITED && mayForget(m, r)) {
@@ -498,7 +499,7 @@
     }
 
     /** A task on the machine that we did not place in this term; true when it is now a placement of ours. */
-    private boolean meetStranger(Machine m, TaskReport r, long now) {
+    private boolean meetStranger(Machine m, TaskReport r, boolean current, long now) {
         TaskId id = r.task();
         ActiveJob job = jobs.get(id.job());
         boolean open = job != null && job.phase == ActiveJob.Phase.OPEN && id.index() < job.spec.tasks();
@@ -520,6 +521,7 @@
                 && !m.placements.containsKey(id) && id.index() < job.claimed) {
             Placement p = new Placement(id, job, m, r.attempt(), m.session, now);
             p.seen = true;
+            p.certain = current;
             m.add(p);
             job.place(p);
             p.transition(Placement.Phase.SENT, "taken over");
@@ -555,7 +557,8 @@
         }
         p.transition(Placement.Phase.FREED, why);
         p.machine.remove(p, timers.nowMicros());
-        p.job.unplace(p);
+        // Taken over from a report that may be old: that it is not here proves nothing about machines not yet heard.
+        p.job.unplace(p, !p.certain && inheritedLeft > 0);
         if (p.job.phase == ActiveJob.Phase.OVER && p.job.placements.isEmpty()) {
             jobs.remove(p.job.spec.id());
         }
@@ -826,7 +829,7 @@
         return best;
     }
 
-    private boolean teamAllows(JobSpec spec) {
+    boolean teamAllows(JobSpec spec) {
         Config.Team team = config.teams().get(spec.team());
         if (team == null || team.cpuLimit() == 0 && team.gpuLimit() == 0) {
             return true;
--- a/src/main/java/org/granitepath/coordination/Placement.java
+++ b/src/main/java/org/granitepath/coordination/Placement.java
@@ -23,6 +23,8 @@
     /** Went out in the answer to a report: only a later report, not a direct answer, tells whether it was taken. */
     boolean sentInAnswer;
     boolean seen;
+    /** Ours, or listed by a report under the present baton: then the task can be nowhere else. */
+    boolean certain = true;
     long runningSinceMicros = -1;
     long graceMicros;
 
