--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -22,6 +22,7 @@
     private static final long REFUSED_MICROS = 15_000_000;
     private static final long SERVICE_HORIZON_MICROS = 600_000_000;
     private static final long LEAST_CHARGE_MICROS = 60_000_000;
+    private static final long SUMMARY_MICROS = 10_000_000;
     private static final int RENT_AT_ONCE = 50;
     private static final int RETURN_AT_ONCE = 100;
     private static final int LIST_PAGE = 500;
@@ -79,6 +80,7 @@
     private boolean returning;
     private boolean listing;
     private long listDueMicros;
+    private long summaryDueMicros;
     private boolean listedOnce;
     private double tokens = 1;
     private long tokensAtMicros;
@@ -107,6 +109,7 @@
         booting.keySet().removeIf(id -> dispatcher.machine(id) != null);
         refusedUntil.values().removeIf(until -> until < now);
         returned.values().removeIf(at -> at < now - 120_000_000);
+        summarize(now);
         list(now);
         // What a predecessor rented shows in the list; renting before reading it would buy everything twice.
         if (listedOnce) {
@@ -115,6 +118,34 @@
         giveBack(now);
     }
 
+    /** One line for those on call: what there is, what of it is used, what waits. */
+    private void summarize(long now) {
+        if (now < summaryDueMicros) {
+            return;
+        }
+        summaryDueMicros = now + SUMMARY_MICROS;
+        long[] cpu = new long[2];
+        long[] used = new long[2];
+        int idle = 0;
+        for (Machine m : dispatcher.machines()) {
+            if (m.type != null) {
+                int kind = m.spot ? 1 : 0;
+                cpu[kind] += m.type.cpuMillis();
+                used[kind] += m.type.cpuMillis() - m.cpuFree();
+                idle += m.placements.isEmpty() ? 1 : 0;
+            }
+        }
+        int waiting = 0;
+        int running = 0;
+        for (ActiveJob j : dispatcher.jobs()) {
+            waiting += Math.max(0, j.waiting());
+            running += j.running();
+        }
+        LOG.info("fleet: {} machines ({} idle, {} on their way), CPUs used {}/{} and spot {}/{}; tasks {} running, {} "
+                + "waiting, {} jobs", dispatcher.machines().size(), idle, booting.size(), used[0] / 1000, cpu[0] / 1000,
+                used[1] / 1000, cpu[1] / 1000, running, waiting, dispatcher.jobs().size());
+    }
+
     private boolean mayCall(long now) {
         double rate = config.cloudRequests() * 0.8;
         tokens = Math.min(Math.max(1, rate), tokens + (now - tokensAtMicros) * rate / 1e6);
@@ -176,17 +207,38 @@
     // ---- renting -------------------------------------------------------------------------------------------------
 
     private boolean buysFor(ActiveJob job, long now) {
-        if (job.waiting() <= 0 || job.waitingSinceMicros < 0 || job.notBeforeMicros > now
-                || !dispatcher.teamAllows(job.spec)) {
-            return false;
-        }
-        if (job.spec.service() || job.spec.hasDeadline()) {
+        return job.waiting() > 0 && job.waitingSinceMicros >= 0 && job.notBeforeMicros <= now
+                && dispatcher.teamAllows(job.spec);
+    }
+
+    /** Work without a deadline waits for room that is paid for anyway, as long as its class can bear it. */
+    private boolean buysAtFullPrice(ActiveJob job, long drainMicros, long now) {
+        if (job.spec.service() || job.spec.hasDeadline() || !job.spec.spot()) {
             return true;
         }
         Config.Objective objective = config.objectives().get(job.spec.jobClass());
-        long patience = objective == null || objective.waitMicros() == 0 ? 30_000_000
-                : (long) (objective.waitMicros() * config.tuning().patienceShare());
-        return now - job.waitingSinceMicros > patience;
+        long bearable = objective == null || objective.waitMicros() == 0 ? 60_000_000 : objective.waitMicros();
+        return now - job.waitingSinceMicros + drainMicros > bearable * config.tuning().patienceShare();
+    }
+
+    /** How long the batch work at hand takes on the machines at hand and on their way. */
+    private long drainMicros(long now) {
+        double work = 0;
+        double room = 1;
+        for (ActiveJob j : dispatcher.jobs()) {
+            if (!j.spec.service()) {
+                work += (double) j.left() * j.spec.cpuMillis() * j.spec.estimateMicros();
+            } else {
+                room -= (double) j.running() * j.spec.cpuMillis();
+            }
+        }
+        for (Machine m : dispatcher.machines()) {
+            room += m.type == null ? 0 : m.type.cpuMillis();
+        }
+        for (Booting b : booting.values()) {
+            room += b.type().cpuMillis();
+        }
+        return (long) Math.min(work / Math.max(1, room), 3.6e9);
     }
 
     private void rent(long now) {
@@ -210,10 +262,11 @@
             }
         }
         waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
+        long drain = drainMicros(now);
         Map<String, Integer> counts = new LinkedHashMap<>();
         Map<String, Offer> offers = new HashMap<>();
         for (ActiveJob job : waiting) {
-            plan(job, bins, counts, offers, now);
+            plan(job, buysAtFullPrice(job, drain, now), bins, counts, offers, now);
         }
         Offer best = null;
         int most = 0;
@@ -228,7 +281,7 @@
         }
     }
 
-    private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
+    private void plan(ActiveJob job, boolean fullPrice, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
                       long now) {
         JobSpec spec = job.spec;
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
@@ -240,7 +293,7 @@
             }
         }
         while (left > 0) {
-            Offer offer = cheapest(job, left, zoneCounts, counts, now);
+            Offer offer = cheapest(job, fullPrice, left, zoneCounts, counts, now);
             if (offer == null) {
                 return;
             }
@@ -260,8 +313,8 @@
     }
 
     /** The offer with the lowest cost for each task of this job, from rental to the task's end. */
-    private Offer cheapest(ActiveJob job, int left, Map<String, Integer> zoneCounts, Map<String, Integer> counts,
-                           long now) {
+    private Offer cheapest(ActiveJob job, boolean fullPrice, int left, Map<String, Integer> zoneCounts,
+                           Map<String, Integer> counts, long now) {
         JobSpec spec = job.spec;
         Offer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -278,7 +331,7 @@
                 }
                 for (boolean spot : new boolean[] {true, false}) {
                     Offer offer = new Offer(type, zone, spot);
-                    if (spot && !spec.spot() || refusedUntil.containsKey(offer.key())) {
+                    if (spot && !spec.spot() || !spot && !fullPrice || refusedUntil.containsKey(offer.key())) {
                         continue;
                     }
                     double cost = type.priceFor(spot) * Math.max(ready + horizon, LEAST_CHARGE_MICROS) / used;
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -38,6 +38,9 @@
     private static final long ATTEMPTS_PER_TERM = 1L << 24;
     private static final long TICK_MICROS = 500_000;
     private static final long PASS_DELAY_MICROS = 2_000;
+    private static final long ROOM_PATIENCE_MICROS = 1_500_000;
+    /** A task that has run for this long may be stopped for a job with a deadline. */
+    private static final long SETTLED_MICROS = 10_000_000;
     private static final int CALLS_AT_ONCE = 8;
     private static final int UNCLEARED_ATTEMPTS = 24;
     private static final int FAILURES_OF_A_FAULTY_MACHINE = 3;
@@ -454,6 +457,7 @@
             case RUNNING -> {
                 if (p.runningSinceMicros < 0) {
                     p.runningSinceMicros = now;
+                    m.imageSeen(p.job.spec.image());
                 }
                 if (p.phase != Placement.Phase.STOPPING) {
                     p.transition(Placement.Phase.RUNNING, "reported");
@@ -746,8 +750,7 @@
             .thenComparingLong(c -> c.job().acceptedMicros);
 
     private Candidate candidate(ActiveJob job) {
-        boolean live = job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
-        return new Candidate(job, live, fairShare.share(job.spec.rank(), job.spec.hasDeadline(), job.spec.tasks(),
+        return new Candidate(job, isLive(job), fairShare.share(job.spec.rank(), job.spec.hasDeadline(), job.spec.tasks(),
                 job.left(), job.running()));
     }
 
@@ -780,14 +783,15 @@
                 continue;
             }
             Machine m = pick(job);
-            if (m == null) {
-                if (job.spec.rank() == Rank.CRITICAL) {
-                    preemptFor(job);
-                }
-                if (!job.spec.spread() && !job.spec.oneZone()) {
-                    hopeless.add(shape);
+            if (m == null || isLive(job) && !m.hasImage(job.spec.image())) {
+                int coming = makeRoom(job, m != null, now);
+                // A moment's patience gets a live replica onto a machine that already has its image.
+                if (m == null || coming > 0 && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS) {
+                    if (m == null && !job.spec.spread() && !job.spec.oneZone()) {
+                        hopeless.add(shape);
+                    }
+                    continue;
                 }
-                continue;
             }
             start(job, m, now);
             claim(job);
@@ -810,25 +814,41 @@
         LOG.debug("task {} goes to {} (running {}, left {})", id, m.id, job.running(), job.left());
     }
 
+    private static boolean isLive(ActiveJob job) {
+        return job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
+    }
+
+    private boolean eligible(Machine m, ActiveJob job) {
+        return m.takesTasks() && m.allowedFor(job.spec) && job.zoneAllows(m.zone);
+    }
+
     private Machine pick(ActiveJob job) {
         Machine best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (Machine m : machines.values()) {
-            if (!m.takesTasks() || !m.hasRoom(job.spec) || !m.allowedFor(job.spec) || !job.zoneAllows(m.zone)) {
-                continue;
-            }
-            double score = (m.hasImage(job.spec.image()) ? 10 : 0)
-                    - 4.0 * (m.cpuFree() - job.spec.cpuMillis()) / m.type.cpuMillis()
-                    - m.failures * 5
-                    + m.type.fetchGbPerSecond();
-            if (score > bestScore) {
-                bestScore = score;
-                best = m;
+            if (eligible(m, job) && m.hasRoom(job.spec)) {
+                double score = score(m, job.spec);
+                if (score > bestScore) {
+                    bestScore = score;
+                    best = m;
+                }
             }
         }
         return best;
     }
 
+    /**
+     * Machines that have the image come first, then tight fits. Services gather on machines that already hold some,
+     * batch work on the others and on spot machines, so that emptied machines can be returned.
+     */
+    private static double score(Machine m, JobSpec spec) {
+        double score = m.hasImage(spec.image()) ? 20 : m.fetches(spec.image()) ? 10 : m.type.fetchGbPerSecond();
+        score -= 4.0 * (m.cpuFree() - spec.cpuMillis()) / m.type.cpuMillis();
+        score -= 5.0 * m.failures;
+        boolean mixed = m.hostsService();
+        return spec.service() ? score + (mixed ? 3 : 0) : score + (m.spot ? 6 : 0) - (mixed ? 6 : 0);
+    }
+
     boolean teamAllows(JobSpec spec) {
         Config.Team team = config.teams().get(spec.team());
         if (team == null || team.cpuLimit() == 0 && team.gpuLimit() == 0) {
@@ -848,72 +868,81 @@
         return (team.cpuLimit() == 0 || cpu <= team.cpuLimit()) && (team.gpuLimit() == 0 || gpu <= team.gpuLimit());
     }
 
-    /** Makes room for one task of a critical job by stopping lower work, on the machine where least is lost. */
-    private void preemptFor(ActiveJob job) {
-        long now = timers.nowMicros();
+    /**
+     * Makes room by stopping work of lower rank, where least is lost, and returns how many tasks of this job will fit
+     * once that work is gone. Live services may stop anything below them at once; jobs with a deadline only work
+     * that saves itself first.
+     *
+     * @param withImageOnly only on machines that already have the job's image
+     */
+    private int makeRoom(ActiveJob job, boolean withImageOnly, long now) {
+        boolean live = isLive(job);
+        if (!live && !job.spec.hasDeadline()) {
+            return 0;
+        }
+        int coming = 0;
         Machine best = null;
         List<Placement> bestVictims = null;
         double bestLoss = Double.POSITIVE_INFINITY;
         for (Machine m : machines.values()) {
-            if (!m.takesTasks() || !m.allowedFor(job.spec) || !job.zoneAllows(m.zone) || !m.type.fits(job.spec)) {
+            if (!eligible(m, job) || withImageOnly && !m.hasImage(job.spec.image())
+                    || now - m.heardMicros > 2 * config.reportMicros()) {
                 continue;
             }
-            long cpu = m.cpuFree();
-            boolean stopping = false;
+            long cpu = 0;
+            long gpu = 0;
+            long memory = 0;
+            List<Placement> candidates = new ArrayList<>();
             for (Placement p : m.placements.values()) {
                 if (p.phase == Placement.Phase.STOPPING) {
                     cpu += p.job.spec.cpuMillis();
-                    stopping = true;
-                }
-            }
-            if (stopping && cpu >= job.spec.cpuMillis()) {
-                return; // room is already being made here
-            }
-            List<Placement> candidates = new ArrayList<>();
-            for (Placement p : m.placements.values()) {
-                if (p.phase != Placement.Phase.STOPPING && job.spec.rank().above(p.job.spec.rank())
-                        && !p.job.spec.service()) {
+                    gpu += p.job.spec.gpuMillis();
+                    memory += p.job.spec.memoryMillis();
+                } else if (mayStopFor(job, live, p, now)) {
                     candidates.add(p);
                 }
             }
+            int soon = m.slots(job.spec, cpu, gpu, memory);
+            if (soon > 0) {
+                coming += soon;
+                continue;
+            }
             candidates.sort(Comparator.comparingDouble(p -> loss(p, now)));
             List<Placement> victims = new ArrayList<>();
-            double loss = 0;
-            long memory = freeMemory(m);
-            long gpu = freeGpu(m);
-            cpu = m.cpuFree();
+            double loss = m.hasImage(job.spec.image()) ? 0 : job.spec.imageGb() / m.type.fetchGbPerSecond() * 1e9;
             for (Placement p : candidates) {
-                if (cpu >= job.spec.cpuMillis() && memory >= job.spec.memoryMillis() && gpu >= job.spec.gpuMillis()) {
-                    break;
-                }
                 victims.add(p);
                 loss += loss(p, now);
                 cpu += p.job.spec.cpuMillis();
-                memory += p.job.spec.memoryMillis();
                 gpu += p.job.spec.gpuMillis();
-            }
-            boolean enough = cpu >= job.spec.cpuMillis() && memory >= job.spec.memoryMillis()
-                    && gpu >= job.spec.gpuMillis();
-            if (enough && loss < bestLoss) {
-                bestLoss = loss;
-                best = m;
-                bestVictims = victims;
+                memory += p.job.spec.memoryMillis();
+                if (m.slots(job.spec, cpu, gpu, memory) > 0) {
+                    if (loss < bestLoss) {
+                        bestLoss = loss;
+                        best = m;
+                        bestVictims = victims;
+                    }
+                    break;
+                }
             }
         }
-        if (best != null) {
+        if (best != null && coming < job.waiting()) {
             for (Placement p : bestVictims) {
                 LOG.info("stopping {} on {} to make room for {}", p.task, best.id, job.spec.id());
-                stop(p, 0, "room for " + job.spec.id());
+                stop(p, live ? 0 : p.job.spec.saveMicros(), "room for " + job.spec.id());
             }
+            coming++;
         }
+        return coming;
     }
 
-    private static long freeMemory(Machine m) {
-        return m.type.memoryMillis() - m.placements.values().stream().mapToLong(p -> p.job.spec.memoryMillis()).sum();
-    }
-
-    private static long freeGpu(Machine m) {
-        return m.type.gpuMillis() - m.placements.values().stream().mapToLong(p -> p.job.spec.gpuMillis()).sum();
+    private static boolean mayStopFor(ActiveJob job, boolean live, Placement p, long now) {
+        JobSpec victim = p.job.spec;
+        if (!job.spec.rank().above(victim.rank()) || victim.service()) {
+            return false;
+        }
+        return live || victim.checkpointMicros() > 0 && p.runningSinceMicros >= 0
+                && now - p.runningSinceMicros > SETTLED_MICROS;
     }
 
     /** CPU time that stopping this task throws away. */
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -15,7 +15,7 @@
 /** A machine on our roster, or on its way there. */
 final class Machine {
     private static final Logger LOG = LoggerFactory.getLogger(Machine.class);
-    private static final int IMAGES_REMEMBERED = 12;
+    private static final int IMAGES_REMEMBERED = 16;
 
     /**
      * {@code UNCONFIRMED}: not heard under its present baton, so its tasks are not known for certain. {@code
@@ -81,13 +81,36 @@
         cpuUsed += s.cpuMillis();
         gpuUsed += s.gpuMillis();
         memoryUsed += s.memoryMillis();
-        images.remove(s.image());
-        images.add(s.image());
+    }
+
+    /** A task that needs this image runs here, so the machine has it. */
+    void imageSeen(String image) {
+        images.remove(image);
+        images.add(image);
         if (images.size() > IMAGES_REMEMBERED) {
             images.remove(images.iterator().next());
         }
     }
 
+    /** Whether a task here waits for this image, so that one more need not fetch it anew. */
+    boolean fetches(String image) {
+        for (Placement p : placements.values()) {
+            if (p.runningSinceMicros < 0 && p.job.spec.image().equals(image)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boolean hostsService() {
+        for (Placement p : placements.values()) {
+            if (p.job.spec.service()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void remove(Placement p, long nowMicros) {
         if (placements.remove(p.task, p)) {
             JobSpec s = p.job.spec;
@@ -109,8 +132,25 @@
     }
 
     boolean hasRoom(JobSpec s) {
-        return type != null && s.cpuMillis() <= type.cpuMillis() - cpuUsed
-                && s.gpuMillis() <= type.gpuMillis() - gpuUsed && s.memoryMillis() <= type.memoryMillis() - memoryUsed;
+        return slots(s, 0, 0, 0) > 0;
+    }
+
+    /** How many tasks of this shape fit, were this much more free. */
+    int slots(JobSpec s, long moreCpu, long moreGpu, long moreMemory) {
+        if (type == null) {
+            return 0;
+        }
+        long n = Integer.MAX_VALUE;
+        if (s.cpuMillis() > 0) {
+            n = Math.min(n, (type.cpuMillis() - cpuUsed + moreCpu) / s.cpuMillis());
+        }
+        if (s.gpuMillis() > 0) {
+            n = Math.min(n, (type.gpuMillis() - gpuUsed + moreGpu) / s.gpuMillis());
+        }
+        if (s.memoryMillis() > 0) {
+            n = Math.min(n, (type.memoryMillis() - memoryUsed + moreMemory) / s.memoryMillis());
+        }
+        return (int) Math.max(0, n);
     }
 
     /** Whether a job may use this machine at all, room and other tasks aside. */
