--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -21,6 +21,8 @@
     private static final long TICK_MICROS = 1_000_000;
     private static final long REFUSED_MICROS = 15_000_000;
     private static final long SERVICE_HORIZON_MICROS = 600_000_000;
+    /** A service that starts this much later is worth half as much to its users. */
+    private static final double LATE_START_MICROS = 120e6;
     private static final long LEAST_CHARGE_MICROS = 60_000_000;
     private static final long SUMMARY_MICROS = 10_000_000;
     private static final int RENT_AT_ONCE = 50;
@@ -30,7 +32,7 @@
     /** A machine rented and not yet heard. */
     private record Booting(String id, MachineType type, String zone, boolean spot, long rentedMicros) {}
 
-    private record Offer(MachineType type, String zone, boolean spot) {
+    private record Offer(MachineType type, String zone, boolean spot, ActiveJob job) {
         String key() {
             return type.name() + "/" + zone + "/" + spot;
         }
@@ -76,6 +78,8 @@
     private final Map<String, Long> refusedUntil = new HashMap<>();
     private final Map<String, Long> returned = new HashMap<>();
     private long bookings;
+    private double batchWork;
+    private double batchRoom;
     private boolean renting;
     private boolean returning;
     private boolean listing;
@@ -212,33 +216,33 @@
     }
 
     /** Work without a deadline waits for room that is paid for anyway, as long as its class can bear it. */
-    private boolean buysAtFullPrice(ActiveJob job, long drainMicros, long now) {
+    private boolean buysAtFullPrice(ActiveJob job, long now) {
         if (job.spec.service() || job.spec.hasDeadline() || !job.spec.spot()) {
             return true;
         }
         Config.Objective objective = config.objectives().get(job.spec.jobClass());
         long bearable = objective == null || objective.waitMicros() == 0 ? 60_000_000 : objective.waitMicros();
+        double drainMicros = batchWork / Math.max(1, batchRoom);
         return now - job.waitingSinceMicros + drainMicros > bearable * config.tuning().patienceShare();
     }
 
-    /** How long the batch work at hand takes on the machines at hand and on their way. */
-    private long drainMicros(long now) {
-        double work = 0;
-        double room = 1;
+    /** The batch work at hand, and the room for it on the machines at hand and on their way. */
+    private void surveyBatch() {
+        batchWork = 0;
+        batchRoom = 0;
         for (ActiveJob j : dispatcher.jobs()) {
             if (!j.spec.service()) {
-                work += (double) j.left() * j.spec.cpuMillis() * j.spec.estimateMicros();
+                batchWork += (double) j.left() * j.spec.cpuMillis() * j.spec.estimateMicros();
             } else {
-                room -= (double) j.running() * j.spec.cpuMillis();
+                batchRoom -= (double) j.running() * j.spec.cpuMillis();
             }
         }
         for (Machine m : dispatcher.machines()) {
-            room += m.type == null ? 0 : m.type.cpuMillis();
+            batchRoom += m.type == null ? 0 : m.type.cpuMillis();
         }
         for (Booting b : booting.values()) {
-            room += b.type().cpuMillis();
+            batchRoom += b.type().cpuMillis();
         }
-        return (long) Math.min(work / Math.max(1, room), 3.6e9);
     }
 
     private void rent(long now) {
@@ -262,11 +266,11 @@
             }
         }
         waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
-        long drain = drainMicros(now);
+        surveyBatch();
         Map<String, Integer> counts = new LinkedHashMap<>();
         Map<String, Offer> offers = new HashMap<>();
         for (ActiveJob job : waiting) {
-            plan(job, buysAtFullPrice(job, drain, now), bins, counts, offers, now);
+            plan(job, bins, counts, offers, now);
         }
         Offer best = null;
         int most = 0;
@@ -281,7 +285,7 @@
         }
     }
 
-    private void plan(ActiveJob job, boolean fullPrice, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
+    private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
                       long now) {
         JobSpec spec = job.spec;
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
@@ -293,7 +297,7 @@
             }
         }
         while (left > 0) {
-            Offer offer = cheapest(job, fullPrice, left, zoneCounts, counts, now);
+            Offer offer = cheapest(job, buysAtFullPrice(job, now), left, zoneCounts, counts, now);
             if (offer == null) {
                 return;
             }
@@ -307,7 +311,8 @@
                 return;
             }
             bins.add(bin);
-            offers.put(offer.key(), offer);
+            batchRoom += job.spec.service() ? 0 : bin.type.cpuMillis();
+            offers.putIfAbsent(offer.key(), offer);
             counts.merge(offer.key(), 1, Integer::sum);
         }
     }
@@ -330,7 +335,7 @@
                     continue;
                 }
                 for (boolean spot : new boolean[] {true, false}) {
-                    Offer offer = new Offer(type, zone, spot);
+                    Offer offer = new Offer(type, zone, spot, job);
                     if (spot && !spec.spot() || !spot && !fullPrice || refusedUntil.containsKey(offer.key())) {
                         continue;
                     }
@@ -339,6 +344,9 @@
                             - (now - job.sinceMicros)) {
                         cost *= 2;
                     }
+                    if (spec.service()) {
+                        cost *= 1 + ready / LATE_START_MICROS;
+                    }
                     // Among equals the zone with the fewest machines on their way.
                     cost *= 1 + 0.001 * counts.getOrDefault(offer.key(), 0) + 0.0005 * zoneCounts.getOrDefault(zone, 0);
                     if (cost < bestCost) {
@@ -355,8 +363,9 @@
         renting = true;
         // The baton is unique to this term of ownership, so no booking's name is ever used twice.
         String booking = "b" + baton + "-" + ++bookings;
-        LOG.info("renting {} of {} in {}{} as {}", count, offer.type().name(), offer.zone(),
-                offer.spot() ? " (spot)" : "", booking);
+        LOG.info("renting {} of {} in {}{} as {}, first for {} ({}, {} tasks wait)", count, offer.type().name(),
+                offer.zone(), offer.spot() ? " (spot)" : "", booking, offer.job().spec.id(),
+                offer.job().spec.jobClass(), offer.job().waiting());
         send(new CloudPort.Rental(booking, offer.type().name(), offer.zone(), offer.spot(), count), offer, now, 0);
     }
 
@@ -376,11 +385,13 @@
                     }
                     LOG.info("rental {} brought {} of {}", rental.booking(), answer.hosts().size(), rental.count());
                     renting = false;
+                    rent(now);
                 }
                 case NO_CAPACITY -> {
                     LOG.info("rental {} refused: no capacity for {}", rental.booking(), offer.key());
                     refusedUntil.put(offer.key(), now + REFUSED_MICROS);
                     renting = false;
+                    rent(now);
                 }
                 case REFUSED, UNKNOWN -> {
                     // It may have been carried out: only the same booking tells, and rents nothing twice.
