--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -232,7 +232,8 @@
         batchRoom = 0;
         for (ActiveJob j : dispatcher.jobs()) {
             if (!j.spec.service()) {
-                batchWork += (double) j.left() * j.spec.cpuMillis() * j.spec.estimateMicros();
+                // Tasks under way are half over, on the average.
+                batchWork += (j.left() - 0.5 * j.running()) * j.spec.cpuMillis() * j.spec.estimateMicros();
             } else {
                 batchRoom -= (double) j.running() * j.spec.cpuMillis();
             }
@@ -340,8 +341,10 @@
                         continue;
                     }
                     double cost = type.priceFor(spot) * Math.max(ready + horizon, LEAST_CHARGE_MICROS) / used;
-                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros()
-                            - (now - job.sinceMicros)) {
+                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros() - (now - job.sinceMicros)) {
+                        if (!spot && spec.spot()) {
+                            continue; // late all the same: then it can wait for cheaper room
+                        }
                         cost *= 2;
                     }
                     if (spec.service()) {
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -846,7 +846,7 @@
         score -= 4.0 * (m.cpuFree() - spec.cpuMillis()) / m.type.cpuMillis();
         score -= 5.0 * m.failures;
         boolean mixed = m.hostsService();
-        return spec.service() ? score + (mixed ? 3 : 0) : score + (m.spot ? 6 : 0) - (mixed ? 6 : 0);
+        return spec.service() ? score + (mixed ? 12 : 0) : score + (m.spot ? 6 : 0) - (mixed ? 6 : 0);
     }
 
     boolean teamAllows(JobSpec spec) {
