--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -366,9 +366,11 @@
         renting = true;
         // The baton is unique to this term of ownership, so no booking's name is ever used twice.
         String booking = "b" + baton + "-" + ++bookings;
-        LOG.info("renting {} of {} in {}{} as {}, first for {} ({}, {} tasks wait)", count, offer.type().name(),
+        LOG.info("renting {} of {} in {}{} as {}, first for {} ({}, {} tasks wait; batch drains "
+                + "in {} s)", count, offer.type().name(),
                 offer.zone(), offer.spot() ? " (spot)" : "", booking, offer.job().spec.id(),
-                offer.job().spec.jobClass(), offer.job().waiting());
+                offer.job().spec.jobClass(), offer.job().waiting(),
+                Math.round(batchWork / Math.max(1, batchRoom) / 1e6));
         send(new CloudPort.Rental(booking, offer.type().name(), offer.zone(), offer.spot(), count), offer, now, 0);
     }
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -41,6 +41,10 @@
     private static final long ROOM_PATIENCE_MICROS = 1_500_000;
     /** A task that has run for this long may be stopped for a job with a deadline. */
     private static final long SETTLED_MICROS = 10_000_000;
+    private static final long CONSOLIDATE_MICROS = 4_000_000;
+    private static final double MOST_USED_TO_EMPTY = 0.75;
+    /** A replica is not moved before it has run this long. */
+    private static final long SETTLED_REPLICA_MICROS = 40_000_000;
     private static final int CALLS_AT_ONCE = 8;
     private static final int UNCLEARED_ATTEMPTS = 24;
     private static final int FAILURES_OF_A_FAULTY_MACHINE = 3;
@@ -65,6 +69,7 @@
     private boolean ended;
     private int inheritedLeft;
     private long attempts;
+    private long consolidateDueMicros;
     private boolean scheduleDue;
     private boolean passTimerSet;
     private int calls;
@@ -967,6 +972,78 @@
         }
     }
 
+    /**
+     * Empties the machine that hosts the fewest service replicas when others have room and their images, so that it
+     * can be returned. A replica is stopped only to start at once elsewhere; machines with batch work are left alone.
+     */
+    private void consolidate(long now) {
+        if (inheritedLeft > 0 || now < consolidateDueMicros || !leadership.certain()) {
+            return;
+        }
+        consolidateDueMicros = now + CONSOLIDATE_MICROS;
+        for (ActiveJob job : jobs.values()) {
+            if (job.waiting() > 0) {
+                return;
+            }
+        }
+        Machine emptiest = null;
+        for (Machine m : machines.values()) {
+            if (m.phase == Machine.Phase.DRAINING && !m.placements.isEmpty()) {
+                return; // one at a time
+            }
+            if (mayEmpty(m, now) && (emptiest == null || m.cpuUsedShare() < emptiest.cpuUsedShare())) {
+                emptiest = m;
+            }
+        }
+        if (emptiest == null || !othersHold(emptiest)) {
+            return;
+        }
+        drain(emptiest, "its " + emptiest.placements.size() + " replicas fit elsewhere");
+        for (Placement p : List.copyOf(emptiest.placements.values())) {
+            stop(p, 0, "moves to a fuller machine");
+        }
+    }
+
+    private boolean mayEmpty(Machine m, long now) {
+        if (!m.takesTasks() || m.placements.isEmpty() || m.cpuUsedShare() > MOST_USED_TO_EMPTY) {
+            return false;
+        }
+        for (Placement p : m.placements.values()) {
+            if (!p.job.spec.service() || p.phase != Placement.Phase.RUNNING
+                    || now - p.runningSinceMicros < SETTLED_REPLICA_MICROS) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images. */
+    private boolean othersHold(Machine from) {
+        Map<Machine, long[]> taken = new LinkedHashMap<>();
+        for (Placement p : from.placements.values()) {
+            JobSpec s = p.job.spec;
+            boolean placed = false;
+            for (Machine m : machines.values()) {
+                if (m == from || !m.takesTasks() || !m.allowedFor(s) || !m.zone.equals(from.zone) && s.spread()
+                        || !m.hasImage(s.image()) || m.cpuUsedShare() <= from.cpuUsedShare()) {
+                    continue;
+                }
+                long[] used = taken.computeIfAbsent(m, k -> new long[3]);
+                if (m.slots(s, -used[0], -used[1], -used[2]) > 0) {
+                    used[0] += s.cpuMillis();
+                    used[1] += s.gpuMillis();
+                    used[2] += s.memoryMillis();
+                    placed = true;
+                    break;
+                }
+            }
+            if (!placed) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     // ---- time --------------------------------------------------------------------------------------------------
 
     private void tick() {
@@ -987,6 +1064,7 @@
                 m.ordersDue = true;
             }
         }
+        consolidate(now);
         scheduleSoon();
     }
 }
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -127,6 +127,10 @@
         return images.contains(image);
     }
 
+    double cpuUsedShare() {
+        return type == null ? 0 : (double) cpuUsed / type.cpuMillis();
+    }
+
     long cpuFree() {
         return type == null ? 0 : type.cpuMillis() - cpuUsed;
     }
