Peers tell cut from outage: a controller cut off alone leaves the load balancer

Ruled out: start-up time (2 s from start to serving) and the outage itself, in which nobody can accept. Also metrics on the back address.

--- a/src/main/java/org/granitepath/cli/RehearseCommand.java
+++ b/src/main/java/org/granitepath/cli/RehearseCommand.java
@@ -28,6 +28,7 @@
     @Override
     public Integer call() throws Exception {
         int port = freePort();
+        int back = freePort();
         int closed = freePort();
         Path file = Files.createTempFile("granitepath", ".toml");
         Files.writeString(file, """
@@ -60,7 +61,7 @@
                 [facts.cloud]
                 rps = 1.0
                 list_lag_s = 1.0
-                """.formatted(port, closed, closed, closed, closed));
+                """.formatted(port, back, back, closed, closed));
         ServeCommand.start(Settings.read(file, null));
         Files.delete(file);
         HttpCalls http = new HttpCalls(new EventLoop());
--- a/src/main/java/org/granitepath/cli/ServeCommand.java
+++ b/src/main/java/org/granitepath/cli/ServeCommand.java
@@ -7,6 +7,7 @@
 import org.granitepath.transport.CloudClient;
 import org.granitepath.transport.EventLoop;
 import org.granitepath.transport.HttpCalls;
+import org.granitepath.transport.PeerClient;
 import org.granitepath.transport.ServiceServer;
 import org.granitepath.transport.StateClient;
 import org.granitepath.transport.WorkerClient;
@@ -48,8 +49,9 @@
         EventLoop loop = new EventLoop();
         HttpCalls http = new HttpCalls(loop);
         Controller controller = new Controller(s.config(), new StateClient(http, s.state()),
-                new CloudClient(http, s.cloud()), new WorkerClient(http), loop);
-        new ServiceServer(controller).listen(loop, s.listen().host(), s.listen().port());
+                new CloudClient(http, s.cloud()), new WorkerClient(http), new PeerClient(http, s.peerAddresses()), loop);
+        ServiceServer.listen(controller, loop, s.listen().host(), s.listen().port(), s.peerListen().host(),
+                s.peerListen().port());
         loop.run(controller::start);
         log.info("{} serves on {}:{}", s.config().node(), s.listen().host(), s.listen().port());
     }
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -18,6 +18,7 @@
 public final class Controller {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long TICK_MICROS = 1_000_000;
+    private static final long CUT_OFF_MICROS = 2_500_000;
     private static final long TYPES_MICROS = 60_000_000;
     /** The controllers share the state service; each reads the latest changes at most this often. */
     private static final double READ_SHARE = 0.12;
@@ -31,12 +32,14 @@
     private final JobBook book = new JobBook();
     private final Leadership leadership;
     private final UserDesk desk;
+    private final Peers peers;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private Dispatcher dispatcher;
     private boolean askingTypes;
     private long typesDueMicros;
 
-    public Controller(Config config, StatePort state, CloudPort cloud, WorkerPort workers, Timers timers) {
+    public Controller(Config config, StatePort state, CloudPort cloud, WorkerPort workers, PeerPort peerPort,
+                      Timers timers) {
         this.config = config;
         this.state = state;
         this.cloud = cloud;
@@ -66,18 +69,40 @@
                 leaveOffice();
             }
         });
+        this.peers = new Peers(config, peerPort, timers, this::greeting);
         this.desk = new UserDesk(config, state, mirror, book, timers, () -> types);
     }
 
     public void start() {
         mirror.start();
         leadership.start();
+        peers.start();
         tick();
     }
 
-    /** Whether users may be sent here. */
+    /**
+     * Whether users may be sent here. In an outage no controller can do better, so all stay; a controller that alone
+     * has lost the state service sends users to the others.
+     */
     public boolean healthy() {
-        return mirror.loaded() && !types.isEmpty();
+        if (!mirror.loaded() || types.isEmpty()) {
+            return false;
+        }
+        return contactAgeMicros() < CUT_OFF_MICROS || !peers.anyInTouch(CUT_OFF_MICROS);
+    }
+
+    private long contactAgeMicros() {
+        return timers.nowMicros() - mirror.lastContactMicros();
+    }
+
+    private PeerPort.Greeting greeting() {
+        return new PeerPort.Greeting(config.node(), mirror.loaded() ? contactAgeMicros() : -1, dispatcher != null);
+    }
+
+    /** A peer tells how it is, and is told the same. */
+    public PeerPort.Greeting greeted(PeerPort.Greeting theirs) {
+        peers.take(theirs);
+        return greeting();
     }
 
     public boolean owner() {
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/PeerPort.java
@@ -0,0 +1,14 @@
+package org.granitepath.coordination;
+
+import java.util.function.Consumer;
+
+/** What controllers tell one another. Every call answers once, later, on the event loop. */
+public interface PeerPort {
+    /**
+     * @param contactAgeMicros how long ago the state service last brought this controller up to date; negative: never
+     */
+    record Greeting(String node, long contactAgeMicros, boolean owner) {}
+
+    /** Tells a peer how we are; answered with how it is, or null. */
+    void greet(String peer, Greeting ours, Consumer<Greeting> then);
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Peers.java
@@ -0,0 +1,61 @@
+package org.granitepath.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.granitepath.bookkeeping.Timers;
+
+/**
+ * How the other controllers are. An outage of the state service and a cut of our own path to it look alike from here;
+ * a peer that is in touch tells them apart.
+ */
+final class Peers {
+    private static final long TICK_MICROS = 1_000_000;
+    private static final long FRESH_MICROS = 3_500_000;
+
+    private record Heard(PeerPort.Greeting greeting, long atMicros) {}
+
+    private final Config config;
+    private final PeerPort port;
+    private final Timers timers;
+    private final Supplier<PeerPort.Greeting> ours;
+    private final Map<String, Heard> heard = new HashMap<>();
+
+    Peers(Config config, PeerPort port, Timers timers, Supplier<PeerPort.Greeting> ours) {
+        this.config = config;
+        this.port = port;
+        this.timers = timers;
+        this.ours = ours;
+    }
+
+    void start() {
+        tick();
+    }
+
+    private void tick() {
+        timers.after(TICK_MICROS, this::tick);
+        for (String peer : config.peers()) {
+            port.greet(peer, ours.get(), answer -> {
+                if (answer != null) {
+                    take(answer);
+                }
+            });
+        }
+    }
+
+    void take(PeerPort.Greeting greeting) {
+        heard.put(greeting.node(), new Heard(greeting, timers.nowMicros()));
+    }
+
+    /** Whether a peer lately had word from the state service, at most {@code ageMicros} old when it told us. */
+    boolean anyInTouch(long ageMicros) {
+        long now = timers.nowMicros();
+        for (Heard h : heard.values()) {
+            long age = h.greeting().contactAgeMicros();
+            if (now - h.atMicros() < FRESH_MICROS && age >= 0 && age <= ageMicros) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/protocol/PeerCodec.java
@@ -0,0 +1,38 @@
+package org.granitepath.protocol;
+
+import java.io.IOException;
+import org.granitepath.coordination.PeerPort.Greeting;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Messages between controllers, in MessagePack: an array that begins with the version of its layout. */
+public final class PeerCodec {
+    private static final int VERSION = 1;
+    private static final int FIELDS = 4;
+
+    private PeerCodec() {}
+
+    public static byte[] encode(Greeting g) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(FIELDS).packInt(VERSION).packString(g.node()).packLong(g.contactAgeMicros())
+                    .packBoolean(g.owner());
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing in memory failed", e);
+        }
+    }
+
+    /** Null when it is no greeting that we understand. */
+    public static Greeting decode(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            if (unpacker.unpackArrayHeader() < FIELDS || unpacker.unpackInt() != VERSION) {
+                return null;
+            }
+            return new Greeting(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+        } catch (IOException | MessagePackException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/transport/BackServer.java
@@ -0,0 +1,44 @@
+package org.granitepath.transport;
+
+import io.undertow.Undertow;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import org.granitepath.coordination.Controller;
+import org.granitepath.coordination.PeerPort;
+import org.granitepath.protocol.PeerCodec;
+
+/** What the other controllers and the operators talk to. */
+public final class BackServer {
+    private final Controller controller;
+    private final Metrics metrics;
+
+    BackServer(Controller controller, Metrics metrics) {
+        this.controller = controller;
+        this.metrics = metrics;
+    }
+
+    Undertow listen(EventLoop loop, String host, int port) {
+        Undertow server = ServiceServer.builder(loop, host, port).setHandler(exchange -> exchange.dispatch(
+                SameThreadExecutor.INSTANCE, EventLoop.guarded(() -> {
+                    if (exchange.getRequestPath().equals("/metrics")) {
+                        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
+                        exchange.getResponseSender().send(metrics.text());
+                    } else if (exchange.getRequestPath().equals(PeerClient.PATH)) {
+                        exchange.getRequestReceiver().receiveFullBytes((ex, bytes) -> {
+                            PeerPort.Greeting theirs = PeerCodec.decode(bytes);
+                            if (theirs == null) {
+                                ex.setStatusCode(400).endExchange();
+                            } else {
+                                ex.getResponseSender().send(ByteBuffer.wrap(
+                                        PeerCodec.encode(controller.greeted(theirs))));
+                            }
+                        });
+                    } else {
+                        exchange.setStatusCode(404).endExchange();
+                    }
+                }))).build();
+        server.start();
+        return server;
+    }
+}
--- a/src/main/java/org/granitepath/transport/HttpCalls.java
+++ b/src/main/java/org/granitepath/transport/HttpCalls.java
@@ -7,8 +7,6 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.StringReadChannelListener;
-import io.undertow.util.StringWriteChannelListener;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +30,11 @@
         void done(int status, String body);
     }
 
+    /** The same for a body that is no text. */
+    public interface BytesReply {
+        void done(int status, byte[] body);
+    }
+
     private final EventLoop loop;
     private final Map<String, ArrayDeque<ClientConnection>> idle = new HashMap<>();
 
@@ -42,25 +45,35 @@
     /** @param keep whether the connection is kept for later requests to the same address */
     public void call(String address, HttpString method, String path, String body, long timeoutMicros, boolean keep,
                      Reply reply) {
-        new Call(address, method, path, body, keep, reply).begin(timeoutMicros);
+        exchange(address, method, path, body == null ? null : body.getBytes(StandardCharsets.UTF_8),
+                "application/json", timeoutMicros, keep, (status, bytes) -> reply.done(status,
+                        bytes == null ? null : new String(bytes, StandardCharsets.UTF_8)));
+    }
+
+    void exchange(String address, HttpString method, String path, byte[] body, String type, long timeoutMicros,
+                  boolean keep, BytesReply reply) {
+        new Call(address, method, path, body, type, keep, reply).begin(timeoutMicros);
     }
 
     private final class Call {
         private final String address;
         private final HttpString method;
         private final String path;
-        private final String body;
+        private final byte[] body;
+        private final String type;
         private final boolean keep;
-        private final Reply reply;
+        private final BytesReply reply;
         private ClientConnection connection;
         private XnioExecutor.Key timer;
         private boolean over;
 
-        Call(String address, HttpString method, String path, String body, boolean keep, Reply reply) {
+        Call(String address, HttpString method, String path, byte[] body, String type, boolean keep,
+             BytesReply reply) {
             this.address = address;
             this.method = method;
             this.path = path;
             this.body = body;
+            this.type = type;
             this.keep = keep;
             this.reply = reply;
         }
@@ -102,9 +115,9 @@
                 request.getRequestHeaders().put(Headers.CONNECTION, "close");
             }
             if (body != null) {
-                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, type);
                 request.getRequestHeaders().put(Headers.CONTENT_LENGTH,
-                        Integer.toString(body.getBytes(StandardCharsets.UTF_8).length));
+                        Integer.toString(body.length));
             }
             c.sendRequest(request, new ClientCallback<>() {
                 @Override
@@ -121,8 +134,7 @@
                         }
                     });
                     if (body != null) {
-                        new StringWriteChannelListener(body, StandardCharsets.UTF_8).setup(
-                                exchange.getRequestChannel());
+                        new BytesWriter(body).setup(exchange.getRequestChannel());
                     }
                 }
 
@@ -135,20 +147,11 @@
 
         private void read(ClientExchange exchange) {
             int status = exchange.getResponse().getResponseCode();
-            new StringReadChannelListener(loop.buffers()) {
-                @Override
-                protected void stringDone(String text) {
-                    finish(status, text);
-                }
-
-                @Override
-                protected void error(IOException e) {
-                    fail(String.valueOf(e.getMessage()));
-                }
-            }.setup(exchange.getResponseChannel());
+            new BytesReader(loop.buffers(), bytes -> finish(status, bytes),
+                    e -> fail(String.valueOf(e.getMessage()))).setup(exchange.getResponseChannel());
         }
 
-        private void finish(int status, String text) {
+        private void finish(int status, byte[] bytes) {
             if (over) {
                 return;
             }
@@ -168,7 +171,7 @@
             } else {
                 IoUtils.safeClose(c);
             }
-            EventLoop.guarded(() -> reply.done(status, text)).run();
+            EventLoop.guarded(() -> reply.done(status, bytes)).run();
         }
 
         private void fail(String why) {
--- a/src/main/java/org/granitepath/transport/ServiceServer.java
+++ b/src/main/java/org/granitepath/transport/ServiceServer.java
@@ -23,26 +23,34 @@
     private static final String CANCEL = "/cancel";
 
     private final Controller controller;
+    private final Metrics metrics;
+    private final EventLoop loop;
 
-    public ServiceServer(Controller controller) {
+    private ServiceServer(Controller controller, Metrics metrics, EventLoop loop) {
         this.controller = controller;
+        this.metrics = metrics;
+        this.loop = loop;
     }
 
     /** Begins to listen; requests are handled on the event loop. */
-    public Undertow listen(EventLoop loop, String host, int port) {
-        Undertow server = Undertow.builder()
+    public static void listen(Controller controller, EventLoop loop, String host, int port, String backHost,
+                              int backPort) {
+        Metrics metrics = new Metrics();
+        ServiceServer service = new ServiceServer(controller, metrics, loop);
+        new BackServer(controller, metrics).listen(loop, backHost, backPort);
+        builder(loop, host, port).setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
+                EventLoop.guarded(() -> service.route(exchange)))).build().start();
+    }
+
+    static Undertow.Builder builder(EventLoop loop, String host, int port) {
+        return Undertow.builder()
                 .setWorker(loop.worker())
                 .setByteBufferPool(loop.buffers())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_BODY_BYTES)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
-                .addHttpListener(port, host)
-                .setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
-                        EventLoop.guarded(() -> route(exchange))))
-                .build();
-        server.start();
-        return server;
+                .addHttpListener(port, host);
     }
 
     private void route(HttpServerExchange exchange) {
@@ -53,8 +61,9 @@
             body(exchange, text -> beat(exchange, text));
         } else if (path.equals("/up") && get) {
             boolean up = controller.healthy();
-            reply(exchange, up ? 200 : 503, up ? "{}" : "{\"error\":\"starting\"}");
+            reply(exchange, up ? 200 : 503, up ? "{}" : "{\"error\":\"starting, or cut from the state service\"}");
         } else if (path.equals(JOBS) && post) {
+            timed(exchange, "submit");
             body(exchange, text -> submit(exchange, text));
         } else if (path.startsWith(JOBS + "/")) {
             String rest = path.substring(JOBS.length() + 1);
@@ -65,8 +74,10 @@
             } else if (!SubmissionCodec.isJobId(id)) {
                 answer(exchange, new UserAnswer.NotFound());
             } else if (cancel) {
+                timed(exchange, "cancel");
                 body(exchange, text -> controller.cancel(id, a -> answer(exchange, a)));
             } else {
+                timed(exchange, "poll");
                 controller.poll(id, a -> answer(exchange, a));
             }
         } else {
@@ -74,6 +85,14 @@
         }
     }
 
+    private void timed(HttpServerExchange exchange, String what) {
+        long began = loop.nowMicros();
+        exchange.addExchangeCompleteListener((ex, next) -> {
+            metrics.served(what, ex.getStatusCode(), loop.nowMicros() - began);
+            next.proceed();
+        });
+    }
+
     private void submit(HttpServerExchange exchange, String text) {
         try {
             controller.submit(SubmissionCodec.decode(text), a -> answer(exchange, a));
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -16,6 +16,7 @@
 import org.granitepath.coordination.Config;
 import org.granitepath.coordination.Controller;
 import org.granitepath.coordination.Order;
+import org.granitepath.coordination.PeerPort;
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.UserAnswer;
 import org.granitepath.coordination.UserAnswer.JobState;
@@ -50,7 +51,8 @@
             Config config = new Config(name, name + "-" + life, NODES.stream().filter(n -> !n.equals(name)).toList(),
                     ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, false)), REPORT, LEASE, CANCEL,
                     1000, 200, 2048, 8, 5, 4 * SECOND, 250_000, Config.Tuning.defaults());
-            controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), new Timers() {
+            controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name),
+                    new Timers() {
                 @Override
                 public long nowMicros() {
                     return Node.this.nowMicros();
@@ -137,6 +139,15 @@
         nodes.values().forEach(Node::boot);
     }
 
+    private PeerPort peerPort(String node) {
+        return (peer, ours, then) -> world.<PeerPort.Greeting>callLater(node, peer, SECOND, answer -> {
+            Controller c = nodes.get(peer).controller;
+            if (c != null) {
+                answer.accept(c.greeted(ours));
+            }
+        }, then);
+    }
+
     private WorkerPort workerPort(String node) {
         return new WorkerPort() {
             @Override
