--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -40,6 +40,8 @@
     int fresh;
     int failureStreak;
     long notBeforeMicros;
+    /** Since when freed room is held for this gang; negative when it is not. */
+    long heldSinceMicros = -1;
     /** Since when tasks wait without room; negative when none does. */
     long waitingSinceMicros = -1;
 
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -217,7 +217,7 @@
 
     /** Work without a deadline waits for room that is paid for anyway, as long as its class can bear it. */
     private boolean buysAtFullPrice(ActiveJob job, long now) {
-        if (job.spec.service() || job.spec.hasDeadline() || !job.spec.spot()) {
+        if (job.spec.service() || job.spec.gang() || job.spec.hasDeadline() || !job.spec.spot()) {
             return true;
         }
         Config.Objective objective = config.objectives().get(job.spec.jobClass());
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -18,9 +18,9 @@
     /** Operators' own choices, from the YAML file. */
     public record Tuning(long leaderLeaseMicros, long idleMicros, double criticalWeight, double highWeight,
                          double standardWeight, double bestEffortWeight, double patienceShare,
-                         long publishMicros, int claimBlock) {
+                         long gangHoldMicros, int claimBlock) {
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 1.0, 5_000_000, 256);
+            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 1.0, 10_000_000, 256);
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -69,6 +69,7 @@
     private boolean ended;
     private int inheritedLeft;
     private long attempts;
+    private int lastStarted;
     private long consolidateDueMicros;
     private boolean scheduleDue;
     private boolean passTimerSet;
@@ -700,7 +701,8 @@
     }
 
     private void claim(ActiveJob job) {
-        int want = Math.min(job.spec.tasks(), job.fresh + config.tuning().claimBlock());
+        int want = job.spec.gang() ? job.spec.tasks()
+                : Math.min(job.spec.tasks(), job.fresh + config.tuning().claimBlock());
         if (want > job.claimWanted) {
             job.claimWanted = want;
             recordProgress(job, 0);
@@ -787,6 +789,12 @@
             if (hopeless.contains(shape) || !teamAllows(job.spec)) {
                 continue;
             }
+            if (job.spec.gang()) {
+                if (startWhole(job, now) || !holdsRoom(job, now)) {
+                    continue;
+                }
+                break; // room that becomes free now goes to the gang
+            }
             Machine m = pick(job);
             if (m == null || isLive(job) && !m.hasImage(job.spec.image())) {
                 int coming = makeRoom(job, m != null, now);
@@ -810,9 +818,47 @@
         }
     }
 
+    /** Starts all that is left of a gang, or nothing. */
+    private boolean startWhole(ActiveJob job, long now) {
+        if (job.running() > 0 || job.claimed < job.spec.tasks()) {
+            return true; // not to be started now: its tasks are still on machines, or not claimed yet
+        }
+        List<Placement> placed = new ArrayList<>();
+        while (job.waiting() > 0) {
+            Machine m = teamAllows(job.spec) ? pick(job) : null;
+            if (m == null) {
+                placed.forEach(p -> free(p, "the gang does not fit"));
+                return false;
+            }
+            start(job, m, now);
+            placed.add(job.placements.get(lastStarted));
+        }
+        job.heldSinceMicros = -1;
+        return true;
+    }
+
+    /** Whether freed room is to be held for a gang that is lowest and does not fit; for a set time only. */
+    private boolean holdsRoom(ActiveJob job, long now) {
+        if (job.heldSinceMicros < 0) {
+            job.heldSinceMicros = now;
+        }
+        if (now - job.heldSinceMicros < config.tuning().gangHoldMicros()) {
+            return true;
+        }
+        LOG.debug("gang {} is passed over: it does not fit", job.spec.id());
+        job.heldSinceMicros = -1;
+        job.notBeforeMicros = now + config.tuning().gangHoldMicros();
+        return false;
+    }
+
     private void start(ActiveJob job, Machine m, long now) {
         TaskId id = new TaskId(job.spec.id(), job.takeTask());
-        Placement p = new Placement(id, job, m, term.baton() * ATTEMPTS_PER_TERM + ++attempts, m.session, now);
+        lastStarted = id.index();
+        // The members of a gang find one another by their common attempt.
+        if (!job.spec.gang() || job.placements.isEmpty()) {
+            attempts++;
+        }
+        Placement p = new Placement(id, job, m, term.baton() * ATTEMPTS_PER_TERM + attempts, m.session, now);
         m.add(p);
         job.place(p);
         m.ordersDue = true;
--- a/src/main/java/org/granitepath/coordination/UserDesk.java
+++ b/src/main/java/org/granitepath/coordination/UserDesk.java
@@ -100,7 +100,7 @@
         if (team == null) {
             return "unknown team " + spec.team();
         }
-        int counted = spec.service() ? spec.tasks() : 1;
+        int counted = spec.service() || spec.gang() ? spec.tasks() : 1;
         if (team.cpuLimit() > 0 && spec.cpuMillis() * counted > team.cpuLimit()
                 || team.gpuLimit() > 0 && spec.gpuMillis() * counted > team.gpuLimit()) {
             return "more than the limit of team " + spec.team();
@@ -108,6 +108,9 @@
         if (!types.get().isEmpty() && types.get().values().stream().noneMatch(t -> t.fits(spec))) {
             return "a task fits no allowed machine type";
         }
+        if (spec.spread() && spec.tasks() > 1 && (spec.oneZone() || spec.zone() != null)) {
+            return "its tasks must be spread over zones and be in one zone";
+        }
         return null;
     }
 
--- a/src/main/java/org/granitepath/protocol/SubmissionCodec.java
+++ b/src/main/java/org/granitepath/protocol/SubmissionCodec.java
@@ -40,21 +40,26 @@
         if (!isJobId(id)) {
             throw new Malformed("uid: not a job id");
         }
-        String shape = text(m, "shape");
-        if (!shape.equals("batch") && !shape.equals("daemon")) {
-            throw new Malformed("shape: must be batch or daemon");
-        }
         if (!(m.get("pieces") instanceof Integer pieces) || pieces < 1 || pieces > MOST_TASKS) {
             throw new Malformed("pieces: must be a whole number from 1 to " + MOST_TASKS);
         }
         Object due = m.get("due_s");
-        return new JobSpec(id, text(m, "lane"), text(m, "owner"), shape.equals("daemon"), rank(text(m, "rank")), pieces,
+        return new JobSpec(id, text(m, "lane"), text(m, "owner"), shape(text(m, "shape")), rank(text(m, "rank")), pieces,
                 millis(m, "cpus"), millis(m, "cards"), millis(m, "mem_gb"), text(m, "bundle"), amount(m, "size_gb"),
                 models(m.get("models")), m.get("site") == null ? null : text(m, "site"), flag(m, "same_place"),
                 flag(m, "scatter"), flag(m, "loaner"), micros(m, "expect_s"), micros(m, "snapshot_s"),
                 micros(m, "flush_s"), due == null ? JobSpec.NO_DEADLINE : micros(m, "due_s"));
     }
 
+    private static JobSpec.Shape shape(String word) throws Malformed {
+        return switch (word) {
+            case "batch" -> JobSpec.Shape.BATCH;
+            case "gang" -> JobSpec.Shape.GANG;
+            case "daemon" -> JobSpec.Shape.SERVICE;
+            default -> throw new Malformed("shape: must be batch, gang or daemon");
+        };
+    }
+
     private static Rank rank(String word) throws Malformed {
         return switch (word) {
             case "critical" -> Rank.CRITICAL;
--- a/src/main/java/org/granitepath/transport/EventLoop.java
+++ b/src/main/java/org/granitepath/transport/EventLoop.java
@@ -28,7 +28,6 @@
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 256L * 1024)
                 .set(Options.THREAD_DAEMON, false)
                 .getMap());
         thread = worker.getIoThread();
--- a/src/test/java/org/granitepath/simulation/RulesTest.java
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -26,7 +26,7 @@
     }
 
     private static JobSpec spec(String id, boolean spread, boolean oneZone) {
-        return new JobSpec(id, "c", "t", false, Rank.HIGH, 2, 1_000, 0, 1_000, "i", 1, null, null, oneZone, spread,
+        return new JobSpec(id, "c", "t", JobSpec.Shape.BATCH, Rank.HIGH, 2, 1_000, 0, 1_000, "i", 1, null, null, oneZone, spread,
                 false, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
     }
 
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -228,7 +228,8 @@
     JobSpec job(boolean service, int tasks, Rank rank, String team, boolean spot, boolean spread, boolean oneZone,
                 long runMicros, long checkpointMicros) {
         String id = String.format("run-%06d", ++submissions);
-        return new JobSpec(id, service ? "svc" : "bat", team, service, rank, tasks, service ? 1_000 : 2_000, 0, 3_000,
+        return new JobSpec(id, service ? "svc" : "bat", team,
+                service ? JobSpec.Shape.SERVICE : tasks % 5 == 4 ? JobSpec.Shape.GANG : JobSpec.Shape.BATCH, rank, tasks, service ? 1_000 : 2_000, 0, 3_000,
                 "img-" + world.random.nextInt(3), 1.0, null, null, oneZone, spread, spot, runMicros, checkpointMicros,
                 checkpointMicros > 0 ? SECOND : 0, service ? JobSpec.NO_DEADLINE : 2 * runMicros + 30 * SECOND);
     }
