--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -57,10 +57,11 @@
         for (UnmodifiableConfig o : tables(toml, "facts.objectives")) {
             String jobClass = o.get("class");
             if (jobClass != null) {
-                Config.Objective old = objectives.getOrDefault(jobClass, new Config.Objective(0, false));
+                Config.Objective old = objectives.getOrDefault(jobClass, Config.Objective.NONE);
                 objectives.put(jobClass, switch (String.valueOf((Object) o.get("kind"))) {
-                    case "wait" -> new Config.Objective(micros(o, "within_s"), old.deadline());
-                    case "deadline" -> new Config.Objective(old.waitMicros(), true);
+                    case "wait" -> new Config.Objective(micros(o, "within_s"), old.deadlineTimes());
+                    case "deadline" -> new Config.Objective(old.waitMicros(),
+                            Math.max(old.deadlineTimes(), o.get("times") instanceof Number n ? n.doubleValue() : 1));
                     default -> old;
                 });
             }
--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -39,6 +39,9 @@
     /** Tasks at or above this were never handed out. */
     int fresh;
     int failureStreak;
+    /** Run time of those of its tasks that finished in this term, and their number. */
+    double ranMicros;
+    int ranCount;
     long notBeforeMicros;
     /** Since when freed room is held for this gang; negative when it is not. */
     long heldSinceMicros = -1;
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -233,7 +233,8 @@
         for (ActiveJob j : dispatcher.jobs()) {
             if (!j.spec.service()) {
                 // Tasks under way are half over, on the average.
-                batchWork += (j.left() - 0.5 * j.running()) * j.spec.cpuMillis() * j.spec.estimateMicros();
+                batchWork += (j.left() - 0.5 * j.running()) * j.spec.cpuMillis()
+                        * dispatcher.estimates().taskMicros(j);
             } else {
                 batchRoom -= (double) j.running() * j.spec.cpuMillis();
             }
@@ -324,7 +325,7 @@
         JobSpec spec = job.spec;
         Offer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
-        long horizon = spec.service() ? SERVICE_HORIZON_MICROS : Math.max(1_000_000, spec.estimateMicros());
+        long horizon = spec.service() ? SERVICE_HORIZON_MICROS : dispatcher.estimates().taskMicros(job);
         for (MachineType type : dispatcher.types().values()) {
             if (!type.fits(spec)) {
                 continue;
@@ -341,7 +342,7 @@
                         continue;
                     }
                     double cost = type.priceFor(spot) * Math.max(ready + horizon, LEAST_CHARGE_MICROS) / used;
-                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros() - (now - job.sinceMicros)) {
+                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros() - dispatcher.ageMicros(job, now)) {
                         if (!spot && spec.spot()) {
                             continue; // late all the same: then it can wait for cheaper room
                         }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -12,8 +12,13 @@
     /** Limits in thousandths; 0: none. */
     public record Team(String name, long cpuGuarantee, long cpuLimit, long gpuGuarantee, long gpuLimit) {}
 
-    /** What is expected of a class: its tasks start within {@code waitMicros}; 0: not said. */
-    public record Objective(long waitMicros, boolean deadline) {}
+    /**
+     * What is expected of a class: its tasks start within {@code waitMicros} (0: not said), its jobs end within this
+     * many times their deadline.
+     */
+    public record Objective(long waitMicros, double deadlineTimes) {
+        public static final Objective NONE = new Objective(0, 1);
+    }
 
     /** Operators' own choices, from the YAML file. */
     public record Tuning(long leaderLeaseMicros, long idleMicros, double criticalWeight, double highWeight,
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -59,6 +59,7 @@
     private final WorkerPort workers;
     private final Ledger ledger;
     private final FairShare fairShare;
+    private final Estimates estimates = new Estimates();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -480,6 +481,9 @@
             job.markDone(r.task().index());
             job.failureStreak = 0;
             m.failures = 0;
+            if (p.runningSinceMicros >= 0 && p.certain && !p.takenOver) {
+                estimates.finished(job, now - p.runningSinceMicros);
+            }
             recordProgress(job, 700_000);
         } else if (r.cause() == Cause.FAILED) {
             failed(m, job, now);
@@ -532,6 +536,7 @@
             Placement p = new Placement(id, job, m, r.attempt(), m.session, now);
             p.seen = true;
             p.certain = current;
+            p.takenOver = true;
             m.add(p);
             job.place(p);
             p.transition(Placement.Phase.SENT, "taken over");
@@ -748,19 +753,48 @@
         }
     }
 
-    private record Candidate(ActiveJob job, boolean live, double share) {}
+    private record Candidate(ActiveJob job, Turn turn, double share) {}
+
+    /**
+     * Live services come first. Of the rest, a job that can still meet its deadline goes before one for which that is
+     * past hope, so that room is not spent on what is late all the same; among equals the lowest share decides.
+     */
+    private enum Turn { LIVE, IN_TIME, NEARLY, ANY }
 
     private static final Comparator<Candidate> LOWEST_FIRST = Comparator
-            .comparing((Candidate c) -> !c.live())
+            .comparing(Candidate::turn)
             .thenComparingDouble(Candidate::share)
             .thenComparing(c -> c.job().spec.rank())
             .thenComparingLong(c -> c.job().acceptedMicros);
 
     private Candidate candidate(ActiveJob job) {
-        return new Candidate(job, isLive(job), fairShare.share(job.spec.rank(), job.spec.hasDeadline(), job.spec.tasks(),
+        return new Candidate(job, turn(job, timers.nowMicros()), fairShare.share(job.spec.rank(), job.spec.hasDeadline(), job.spec.tasks(),
                 job.left(), job.running()));
     }
 
+    private Turn turn(ActiveJob job, long now) {
+        if (isLive(job)) {
+            return Turn.LIVE;
+        }
+        if (!job.spec.hasDeadline()) {
+            return Turn.ANY;
+        }
+        long finish = ageMicros(job, now) + estimates.taskMicros(job);
+        Config.Objective objective = config.objectives().get(job.spec.jobClass());
+        double latest = objective == null ? 1 : objective.deadlineTimes();
+        return finish <= job.spec.deadlineMicros() ? Turn.IN_TIME
+                : finish <= job.spec.deadlineMicros() * latest ? Turn.NEARLY : Turn.ANY;
+    }
+
+    /** Time since the job was accepted, as far as the clocks agree. */
+    long ageMicros(ActiveJob job, long now) {
+        return Math.max(now - job.sinceMicros, timers.timeOfDayMicros() - job.acceptedMicros - config.skewMicros());
+    }
+
+    Estimates estimates() {
+        return estimates;
+    }
+
     /** One pass: again and again one task to the job with the lowest share, until nothing more fits. */
     private void schedule() {
         scheduleDue = false;
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Estimates.java
@@ -0,0 +1,50 @@
+package org.granitepath.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.Map;
+
+/**
+ * How long tasks really run. Owners' estimates are often wrong by half, on some days all in one direction; what has
+ * finished corrects them, by class and, once some of its tasks are done, by job.
+ */
+final class Estimates {
+    /** How many finished tasks it takes to outweigh the owners' word. */
+    private static final double CLASS_PRIOR = 10;
+    private static final double JOB_PRIOR = 2;
+    /** Older experience fades. */
+    private static final double MEMORY = 200;
+
+    private static final class Tally {
+        double expected;
+        double actual;
+        double count;
+    }
+
+    private final Map<String, Tally> classes = new Object2ObjectOpenHashMap<>();
+
+    /** A task of the job ran to its end. */
+    void finished(ActiveJob job, long ranMicros) {
+        job.ranMicros += ranMicros;
+        job.ranCount++;
+        Tally t = classes.computeIfAbsent(job.spec.jobClass(), k -> new Tally());
+        if (t.count >= MEMORY) {
+            t.expected /= 2;
+            t.actual /= 2;
+            t.count /= 2;
+        }
+        t.expected += job.spec.estimateMicros();
+        t.actual += ranMicros;
+        t.count++;
+    }
+
+    /** The run time to expect of one task of this job. */
+    long taskMicros(ActiveJob job) {
+        double estimate = Math.max(1_000_000, job.spec.estimateMicros());
+        Tally t = classes.get(job.spec.jobClass());
+        if (t != null && t.expected > 0) {
+            double ratio = (t.actual / t.expected * t.count + CLASS_PRIOR) / (t.count + CLASS_PRIOR);
+            estimate *= Math.max(0.2, Math.min(5, ratio));
+        }
+        return (long) ((job.ranMicros + JOB_PRIOR * estimate) / (job.ranCount + JOB_PRIOR));
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Placement.java
+++ b/src/main/java/org/granitepath/coordination/Placement.java
@@ -25,6 +25,8 @@
     boolean seen;
     /** Ours, or listed by a report under the present baton: then the task can be nowhere else. */
     boolean certain = true;
+    /** Found on the machine: when it began is not known. */
+    boolean takenOver;
     long runningSinceMicros = -1;
     long graceMicros;
 
