--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -25,7 +25,7 @@
                          double standardWeight, double bestEffortWeight, double patienceShare,
                          long gangHoldMicros, int claimBlock) {
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 1.0, 10_000_000, 256);
+            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -695,7 +695,14 @@
         if (job == null) {
             return;
         }
+        long age = ageMicros(job, timers.nowMicros());
         job.transition(ActiveJob.Phase.OVER, how.toString());
+        if (how == JobBook.Final.DONE) {
+            boolean late = job.spec.hasDeadline() && age > job.spec.deadlineMicros();
+            LOG.info("job {} of {} ({} tasks) done after {} s{}", id, job.spec.jobClass(), job.spec.tasks(),
+                    age / 1_000_000, !job.spec.hasDeadline() ? "" : (late ? ", LATE, due after " : ", due after ")
+                    + job.spec.deadlineMicros() / 1_000_000 + " s");
+        }
         for (Placement p : List.copyOf(job.placements.values())) {
             stop(p, 0, "job " + how);
         }
