--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -105,7 +105,8 @@
         yaml.forEach((k, v) -> rest.put(String.valueOf(k), v));
         Config.Tuning t = new Config.Tuning(
                 seconds(rest, "leader-lease-s", d.leaderLeaseMicros(), 1, 60),
-                seconds(rest, "idle-s", d.idleMicros(), 0, 3600),
+                real(rest, "idle-share", d.idleShare(), 0, 100),
+                real(rest, "idle-share-spot", d.idleShareSpot(), 0, 100),
                 real(rest, "weight-critical", d.criticalWeight(), 1, 1e6),
                 real(rest, "weight-high", d.highWeight(), 1, 1e6),
                 real(rest, "weight-standard", d.standardWeight(), 1, 1e6),
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -110,7 +110,13 @@
             return;
         }
         long now = timers.nowMicros();
-        booting.keySet().removeIf(id -> dispatcher.machine(id) != null);
+        booting.values().removeIf(b -> {
+            Machine m = dispatcher.machine(b.id());
+            if (m != null) {
+                m.rentedMicros = b.rentedMicros();
+            }
+            return m != null;
+        });
         refusedUntil.values().removeIf(until -> until < now);
         returned.values().removeIf(at -> at < now - 120_000_000);
         summarize(now);
@@ -439,7 +445,7 @@
             }
             boolean dead = trustSilence && now - m.heardMicros > silenceMicros();
             boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
-                    && now - m.idleSinceMicros > config.tuning().idleMicros();
+                    && now - m.idleSinceMicros > idleMicros(m) && now - m.rentedMicros > LEAST_CHARGE_MICROS;
             boolean drained = m.phase == Machine.Phase.DRAINING && m.placements.isEmpty();
             if (m.phase == Machine.Phase.RETURNING || dead || idle || drained) {
                 if (m.phase != Machine.Phase.RETURNING) {
@@ -468,6 +474,15 @@
         });
     }
 
+    /**
+     * How long a machine may stand idle: as long as a new one would take to boot, so that keeping it never costs much
+     * more than letting it go; longer on spot machines, which cost little and may not be had again.
+     */
+    private long idleMicros(Machine m) {
+        double share = m.spot ? config.tuning().idleShareSpot() : config.tuning().idleShare();
+        return m.type == null ? 30_000_000 : (long) (share * m.type.bootMicros());
+    }
+
     private long silenceMicros() {
         return Math.max(3 * config.reportMicros(), config.leaseMicros() / 3) + 1_000_000;
     }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -20,12 +20,19 @@
         public static final Objective NONE = new Objective(0, 1);
     }
 
-    /** Operators' own choices, from the YAML file. */
-    public record Tuning(long leaderLeaseMicros, long idleMicros, double criticalWeight, double highWeight,
+    /**
+     * Operators' own choices, from the YAML file.
+     *
+     * @param idleShare how long a machine may stand idle, in boot times of its type; {@code idleShareSpot} likewise
+     * @param patienceShare share of a class's wait aim that may pass before machines are rented at full price
+     * @param gangHoldMicros how long freed room is held for a gang that does not fit
+     * @param claimBlock how many tasks of a job are claimed ahead
+     */
+    public record Tuning(long leaderLeaseMicros, double idleShare, double idleShareSpot, double criticalWeight, double highWeight,
                          double standardWeight, double bestEffortWeight, double patienceShare,
                          long gangHoldMicros, int claimBlock) {
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 25_000_000, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
+            return new Tuning(3_000_000, 0.5, 1.5, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -363,6 +363,7 @@
             m.type = types.get(m.typeName);
             m.baton = term.baton();
             m.firstHeardMicros = timers.nowMicros();
+            m.rentedMicros = m.firstHeardMicros;
             m.idleSinceMicros = m.firstHeardMicros;
             if (beat.baton() > m.baton) {
                 return new BeatAnswer.Unavailable();
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -46,6 +46,8 @@
     int failures;
     long idleSinceMicros;
     long firstHeardMicros;
+    /** When it was rented, as far as we know. */
+    long rentedMicros;
     final Map<TaskId, Placement> placements = new LinkedHashMap<>();
     /** Attempts started by a direct order, with its baton: a late copy of the order must find them still listed. */
     final Long2LongOpenHashMap directAttempts = new Long2LongOpenHashMap();
