--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -32,7 +32,7 @@
                          double standardWeight, double bestEffortWeight, double patienceShare,
                          long gangHoldMicros, int claimBlock) {
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 0.5, 1.5, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
+            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
         }
     }
 
