--- /dev/null
+++ b/src/test/java/org/granitepath/protocol/CodecTest.java
@@ -0,0 +1,75 @@
+package org.granitepath.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Order;
+import org.granitepath.coordination.PeerPort;
+import org.granitepath.coordination.TaskId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CodecTest {
+    private static final String GOOD = "{\"uid\":\"run-000412\",\"lane\":\"train\",\"owner\":\"vision\","
+            + "\"shape\":\"batch\",\"rank\":\"high\",\"pieces\":16,\"cpus\":8.0,\"cards\":1.0,\"mem_gb\":64.0,"
+            + "\"bundle\":\"img-07\",\"size_gb\":6.2,\"models\":[\"g8\"],\"site\":null,\"same_place\":true,"
+            + "\"scatter\":false,\"loaner\":true,\"expect_s\":240.0,\"snapshot_s\":30.0,\"flush_s\":4.0,"
+            + "\"due_s\":900.0,\"new_field\":{\"a\":[1]}}";
+
+    @Test
+    void submissionIsRead() throws SubmissionCodec.Malformed {
+        JobSpec s = SubmissionCodec.decode(GOOD);
+        assertEquals(8_000, s.cpuMillis());
+        assertEquals(900_000_000, s.deadlineMicros());
+        assertEquals(List.of("g8"), s.types());
+        assertFalse(s.service());
+        assertEquals(s, JobSpec.fromMap(Json.object(Json.text(s.toMap()))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\"pieces\":16>\"pieces\":0", "\"pieces\":16>\"pieces\":100001", "\"pieces\":16>\"pieces\":1.5",
+        "\"pieces\":16>\"pieces\":\"16\"", "\"cpus\":8.0>\"cpus\":-1", "\"cpus\":8.0>\"cpus\":1e99",
+        "\"cpus\":8.0>\"cpus\":NaN", "\"cpus\":8.0>\"cpus\":null", "run-000412>job-1", "run-000412>run-../x",
+        "\"rank\":\"high\">\"rank\":\"top\"", "\"batch\">\"crowd\"", "[\"g8\"]>[1]", "\"same_place\":true>\"same_place\":1",
+        "\"loaner\":true,>", "\"lane\":\"train\">\"lane\":\"train\",\"lane\":\"x\"", "{\"uid\">[\"uid\""})
+    void malformedSubmissionsAreRefused(String change) {
+        int at = change.indexOf('>');
+        String body = GOOD.replace(change.substring(0, at), change.substring(at + 1));
+        assertThrows(SubmissionCodec.Malformed.class, () -> SubmissionCodec.decode(body));
+    }
+
+    @Test
+    void reportIsRead() {
+        Beat b = WorkerCodec.decodeBeat("{\"host\":\"i-1\",\"address\":\"10.1.0.2:9000\",\"model\":\"g8\",\"site\":\"a\","
+                + "\"loaner\":false,\"shift\":2,\"tally\":88,\"baton\":41,\"warning_s\":null,\"pieces\":["
+                + "{\"piece\":\"run-000398/0\",\"try\":7,\"status\":\"ended\",\"cause\":\"done\"}]}");
+        assertEquals(new TaskId("run-000398", 0), b.tasks().get(0).task());
+        assertEquals(Beat.Cause.DONE, b.tasks().get(0).cause());
+        assertEquals(-1, b.noticeMicros());
+        assertNull(WorkerCodec.decodeBeat("{\"host\":\"i-1\"}"));
+        assertNull(WorkerCodec.decodeBeat("nonsense"));
+    }
+
+    @Test
+    void ordersAreWritten() {
+        Map<String, Object> m = Json.object(WorkerCodec.encode(new BeatAnswer.Accepted(41,
+                List.of(Order.stop(new TaskId("run-1", 3), 9, 2_500_000)))));
+        assertEquals(Map.of("verb", "halt", "piece", "run-1/3", "try", 9, "leeway_s", 2.5),
+                ((List<?>) m.get("orders")).get(0));
+    }
+
+    @Test
+    void greetingsPassBetweenControllers() {
+        PeerPort.Greeting g = new PeerPort.Greeting("worker-1", 1234, true);
+        assertEquals(g, PeerCodec.decode(PeerCodec.encode(g)));
+        assertNull(PeerCodec.decode(new byte[] {1, 2, 3}));
+    }
+}
