--- a/src/main/java/org/granitepath/cli/Main.java
+++ b/src/main/java/org/granitepath/cli/Main.java
@@ -1,24 +1,63 @@
 package org.granitepath.cli;
 
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.LinkedHashMap;
 import java.util.Locale;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
+import java.util.Map;
 
 /** The granitepath program. Each operation is a subcommand of its own. */
-@Command(name = "granitepath", description = "A deadline-aware fair cluster scheduler.", mixinStandardHelpOptions = true,
-        version = "granitepath 0.1.0", synopsisSubcommandLabel = "COMMAND",
-        subcommands = {ServeCommand.class, CheckConfigCommand.class, RehearseCommand.class})
 public final class Main {
+    private static final String VERSION = "granitepath 0.1.0";
+
     private Main() {}
 
     public static void main(String[] args) {
         configureLogging(System.getenv("LOG_LEVEL"));
-        int status = new CommandLine(new Main()).execute(args);
-        if (status != 0) {
+        int status = execute(args);
+        if (status != Command.OK) {
             System.exit(status);
         }
     }
 
+    static int execute(String... args) {
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("serve", new ServeCommand());
+        commands.put("check-config", new CheckConfigCommand());
+        commands.put("rehearse", new RehearseCommand());
+        JCommander.Builder builder = JCommander.newBuilder().programName("granitepath");
+        commands.forEach(builder::addCommand);
+        JCommander parser = builder.build();
+        try {
+            if (args.length == 1 && args[0].equals("--version")) {
+                System.out.println(VERSION);
+                return Command.OK;
+            }
+            if (args.length == 0 || args[0].equals("--help") || args[0].equals("-h")) {
+                parser.usage();
+                return args.length == 0 ? Command.BAD_USE : Command.OK;
+            }
+            parser.parse(args);
+            Command command = commands.get(parser.getParsedCommand());
+            if (command.help) {
+                parser.getUsageFormatter().usage(parser.getParsedCommand());
+                return Command.OK;
+            }
+            return command.run();
+        } catch (Settings.Invalid e) {
+            System.err.println("granitepath: " + e.getMessage());
+            return Command.BAD_USE;
+        } catch (ParameterException e) {
+            // The parser takes an option that it does not know for an argument.
+            System.err.println("granitepath: " + e.getMessage().replaceFirst(
+                    "Was passed main parameter ('.*?') but.*", "unknown option or argument $1"));
+            return Command.BAD_USE;
+        } catch (Exception e) {
+            System.err.println("granitepath: can't go on: " + e.getMessage());
+            return Command.FAILED;
+        }
+    }
+
     /** Before the first logger is made. */
     private static void configureLogging(String level) {
         String wanted = level == null ? "info" : level.toLowerCase(Locale.ROOT);
--- a/src/main/java/org/granitepath/cli/RehearseCommand.java
+++ b/src/main/java/org/granitepath/cli/RehearseCommand.java
@@ -1,23 +1,22 @@
 package org.granitepath.cli;
 
+import com.beust.jcommander.Parameters;
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.granitepath.transport.EventLoop;
 import org.granitepath.transport.HttpCalls;
-import picocli.CommandLine.Command;
 
 /**
  * Starts a controller on loopback with nothing to talk to, sends it one request of each kind and ends. The build runs
  * this to record the classes that a start needs.
  */
-@Command(name = "rehearse", hidden = true, description = "Runs a short start for the build's class archive.")
-final class RehearseCommand implements Callable<Integer> {
+@Parameters(hidden = true, commandDescription = "runs a short start for the build's class archive")
+final class RehearseCommand extends Command {
     private static final String SUBMISSION = "{\"uid\":\"run-1\",\"lane\":\"a\",\"owner\":\"t\",\"shape\":\"batch\","
             + "\"rank\":\"high\",\"pieces\":1,\"cpus\":1.0,\"cards\":0.0,\"mem_gb\":1.0,\"bundle\":\"b\","
             + "\"size_gb\":1.0,\"same_place\":false,\"scatter\":false,\"loaner\":false,\"expect_s\":1.0,"
@@ -26,7 +25,7 @@
             + "\"loaner\":false,\"shift\":1,\"tally\":1,\"baton\":0,\"pieces\":[]}";
 
     @Override
-    public Integer call() throws Exception {
+    int run() throws Exception {
         int port = freePort();
         int back = freePort();
         int closed = freePort();
@@ -62,7 +61,7 @@
                 rps = 1.0
                 list_lag_s = 1.0
                 """.formatted(port, back, back, closed, closed));
-        ServeCommand.start(Settings.read(file, null));
+        Main.execute("serve", "--config", file.toString());
         Files.delete(file);
         HttpCalls http = new HttpCalls(new EventLoop());
         String address = "127.0.0.1:" + port;
@@ -73,8 +72,8 @@
         http.call(address, Methods.POST, "/agent/beat", BEAT, 2_000_000, true, count);
         http.call(address, Methods.GET, "/submissions/run-1", null, 2_000_000, true, count);
         answered.await(5, TimeUnit.SECONDS);
-        System.exit(0);
-        return 0;
+        System.exit(OK);
+        return OK;
     }
 
     private static int freePort() throws IOException {
--- a/src/main/java/org/granitepath/cli/ServeCommand.java
+++ b/src/main/java/org/granitepath/cli/ServeCommand.java
@@ -1,8 +1,7 @@
 package org.granitepath.cli;
 
+import com.beust.jcommander.Parameters;
 import java.io.IOException;
-import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import org.granitepath.coordination.Controller;
 import org.granitepath.transport.CloudClient;
 import org.granitepath.transport.EventLoop;
@@ -13,34 +12,13 @@
 import org.granitepath.transport.WorkerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
-
-@Command(name = "serve", description = "Runs one controller until it is killed.", mixinStandardHelpOptions = true)
-final class ServeCommand implements Callable<Integer> {
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (TOML)")
-    private Path config;
-
-    @Option(names = "--tuning", paramLabel = "FILE", description = "operators' own settings (YAML)")
-    private Path tuning;
-
-    @Spec
-    private CommandSpec spec;
 
+@Parameters(commandDescription = "runs one controller until it is killed")
+final class ServeCommand extends Command.WithSettings {
     @Override
-    public Integer call() {
-        try {
-            start(Settings.read(config, tuning));
-            return 0;
-        } catch (Settings.Invalid e) {
-            spec.commandLine().getErr().println("granitepath: " + e.getMessage());
-            return 2;
-        } catch (IOException | RuntimeException e) {
-            spec.commandLine().getErr().println("granitepath: can't start: " + e.getMessage());
-            return 1;
-        }
+    int run() throws Settings.Invalid, IOException {
+        start(settings());
+        return OK;
     }
 
     /** Starts a controller; its threads keep the process alive. */
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -59,9 +59,13 @@
             if (jobClass != null) {
                 Config.Objective old = objectives.getOrDefault(jobClass, Config.Objective.NONE);
                 objectives.put(jobClass, switch (String.valueOf((Object) o.get("kind"))) {
-                    case "wait" -> new Config.Objective(micros(o, "within_s"), old.deadlineTimes());
+                    case "wait" -> new Config.Objective(micros(o, "within_s"), old.deadlineTimes(),
+                            old.finishMicros());
                     case "deadline" -> new Config.Objective(old.waitMicros(),
-                            Math.max(old.deadlineTimes(), o.get("times") instanceof Number n ? n.doubleValue() : 1));
+                            Math.max(old.deadlineTimes(), o.get("times") instanceof Number n ? n.doubleValue() : 1),
+                            old.finishMicros());
+                    case "finished" -> new Config.Objective(old.waitMicros(), old.deadlineTimes(),
+                            micros(o, "within_s"));
                     default -> old;
                 });
             }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -14,10 +14,10 @@
 
     /**
      * What is expected of a class: its tasks start within {@code waitMicros} (0: not said), its jobs end within this
-     * many times their deadline.
+     * many times their deadline, or within {@code finishMicros} (0: not said).
      */
-    public record Objective(long waitMicros, double deadlineTimes) {
-        public static final Objective NONE = new Objective(0, 1);
+    public record Objective(long waitMicros, double deadlineTimes, long finishMicros) {
+        public static final Objective NONE = new Objective(0, 0, 0);
     }
 
     /**
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -788,10 +788,13 @@
             return Turn.ANY;
         }
         long finish = ageMicros(job, now) + estimates.taskMicros(job);
-        Config.Objective objective = config.objectives().get(job.spec.jobClass());
-        double latest = objective == null ? 1 : objective.deadlineTimes();
+        Config.Objective objective = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
+        if (objective.deadlineTimes() == 0 && objective.finishMicros() > 0) {
+            // The class is judged by a time of its own; its owners' deadlines are wishes.
+            return finish <= objective.finishMicros() ? Turn.IN_TIME : Turn.ANY;
+        }
         return finish <= job.spec.deadlineMicros() ? Turn.IN_TIME
-                : finish <= job.spec.deadlineMicros() * latest ? Turn.NEARLY : Turn.ANY;
+                : finish <= job.spec.deadlineMicros() * objective.deadlineTimes() ? Turn.NEARLY : Turn.ANY;
     }
 
     /** Time since the job was accepted, as far as the clocks agree. */
--- /dev/null
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -0,0 +1,80 @@
+package org.granitepath.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MainTest {
+    private static final String GOOD = """
+            node_name = "n0"
+            site = "z"
+            serve_on = "127.0.0.1:1"
+            back = "127.0.0.1:2"
+            unknown_field = 7
+            [services]
+            cloud = "127.0.0.1:3"
+            state = "127.0.0.1:4"
+            [facts]
+            zones = ["z"]
+            skew_ms = 25.0
+            [[facts.teams]]
+            name = "t"
+            cpus_max = 12.5
+            [[facts.objectives]]
+            kind = "deadline"
+            class = "c"
+            times = 1.5
+            [facts.workers]
+            report_s = 1.0
+            lease_s = 10.0
+            cancel_s = 30.0
+            [facts.state]
+            rps = 10.0
+            write_rps = 10.0
+            value_kb = 8.0
+            txn_ops = 8
+            [facts.cloud]
+            rps = 1.0
+            list_lag_s = 1.0
+            """;
+
+    @TempDir
+    Path dir;
+
+    private Path file(String name, String text) throws IOException {
+        return Files.writeString(dir.resolve(name), text);
+    }
+
+    @Test
+    void goodSettingsAreReadAndUnknownFieldsIgnored() throws Exception {
+        Settings s = Settings.read(file("a.toml", GOOD), null);
+        assertEquals(12_500, s.config().teams().get("t").cpuLimit());
+        assertEquals(1.5, s.config().objectives().get("c").deadlineTimes());
+        assertEquals(25_000, s.config().skewMicros());
+    }
+
+    @Test
+    void badSettingsAreNamed() throws IOException {
+        Path bad = file("b.toml", GOOD.replace("lease_s = 10.0", "lease_s = \"ten\""));
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(bad, null));
+        assertTrue(e.getMessage().contains("facts.workers.lease_s"), e.getMessage());
+        Path tuning = file("t.yaml", "idle-shar: 2\n");
+        e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), tuning));
+        assertTrue(e.getMessage().contains("idle-shar"), e.getMessage());
+    }
+
+    @Test
+    void wrongUseEndsWithAStatus() throws IOException {
+        assertEquals(Command.BAD_USE, Main.execute("serve", "--confg", "x"));
+        assertEquals(Command.BAD_USE, Main.execute("serve"));
+        assertEquals(Command.BAD_USE, Main.execute("serve", "--config", "/nonexistent"));
+        assertEquals(Command.BAD_USE, Main.execute("dance"));
+        assertEquals(Command.OK, Main.execute("check-config", "--config", file("d.toml", GOOD).toString()));
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -49,7 +49,7 @@
             world.setDown(name, false);
             int ours = life;
             Config config = new Config(name, name + "-" + life, NODES.stream().filter(n -> !n.equals(name)).toList(),
-                    ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1)), REPORT, LEASE, CANCEL,
+                    ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1, 0)), REPORT, LEASE, CANCEL,
                     1000, 200, 2048, 8, 5, 4 * SECOND, 250_000, Config.Tuning.defaults());
             controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name),
                     new Timers() {
