Forget the descriptions of jobs that are over

Cause: the mirror kept every job's records for ever; on a long-running small controller they would fill the heap.

--- a/src/main/java/org/granitepath/bookkeeping/Mirror.java
+++ b/src/main/java/org/granitepath/bookkeeping/Mirror.java
@@ -82,7 +82,7 @@
         return e == null || e.value() == null ? 0 : e.stamp();
     }
 
-    /** Drops a record's content that nobody reads any more; the stamp stays as a guard against older news. */
+    /** Drops a record that nobody reads or writes any more. */
     public void forget(String key) {
         entries.remove(key);
     }
@@ -138,7 +138,8 @@
             }
             // Keys known before a reload that are no longer there were removed meanwhile.
             for (String key : new ArrayList<>(entries.keySet())) {
-                if (!seenInLoad.contains(key) && entries.get(key).stamp() <= loadEpoch) {
+                Entry e = entries.get(key);
+                if (e != null && e.value() != null && !seenInLoad.contains(key) && e.stamp() < loadEpoch) {
                     apply(key, null, loadEpoch);
                 }
             }
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -179,6 +179,20 @@
             learnTypes(list, false);
         } else {
             book.changed(key, value);
+            forgetEnded(key, value);
+        }
+    }
+
+    /** Of a job that is over only the final state is kept; a day's descriptions would fill a small machine. */
+    private void forgetEnded(String key, Map<String, Object> value) {
+        for (String prefix : List.of(Keys.FINAL, Keys.JOB, Keys.PROGRESS)) {
+            if (value != null && key.startsWith(prefix)) {
+                String id = key.substring(prefix.length());
+                if (book.finalOf(id) != null) {
+                    mirror.forget(Keys.JOB + id);
+                    mirror.forget(Keys.PROGRESS + id);
+                }
+            }
         }
     }
 
