--- a/src/test/java/org/granitepath/cli/MainTest.java
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class MainTest {
-    private static final String GOOD = """
+    static final String GOOD = """
             node_name = "n0"
             site = "z"
             serve_on = "127.0.0.1:1"
--- /dev/null
+++ b/src/test/java/org/granitepath/cli/ServeHttpTest.java
@@ -0,0 +1,70 @@
+package org.granitepath.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real server on loopback, with neither state service nor cloud to be reached: it must answer all the same. */
+class ServeHttpTest {
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static int port;
+
+    @BeforeAll
+    static void serve(@TempDir Path dir) throws Exception {
+        port = freePort();
+        Path file = Files.writeString(dir.resolve("n.toml"), MainTest.GOOD.replace("127.0.0.1:1\"",
+                "127.0.0.1:" + port + "\"").replace("127.0.0.1:2\"", "127.0.0.1:" + freePort() + "\""));
+        ServeCommand.start(Settings.read(file, null));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+
+    private static HttpResponse<String> ask(String method, String path, String body) throws Exception {
+        return CLIENT.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .method(method, HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    @Test
+    void notHealthyWithoutRecords() throws Exception {
+        assertEquals(503, ask("GET", "/up", "").statusCode());
+    }
+
+    @Test
+    void refusesAtOnceAndSaysWhenToComeBack() throws Exception {
+        HttpResponse<String> r = ask("GET", "/submissions/run-000001", "");
+        assertEquals(503, r.statusCode());
+        assertTrue(r.headers().firstValue("Retry-After").isPresent());
+        assertEquals(503, ask("POST", "/submissions/run-000001/cancel", "").statusCode());
+    }
+
+    @Test
+    void malformedRequestsAreNotToBeRetried() throws Exception {
+        assertEquals(400, ask("POST", "/submissions", "{").statusCode());
+        assertEquals(400, ask("POST", "/submissions", "{\"uid\":\"" + "x".repeat(70_000) + "\"}").statusCode());
+        assertEquals(400, ask("POST", "/agent/beat", "[]").statusCode());
+        assertEquals(404, ask("GET", "/submissions/nonsense", "").statusCode());
+        assertEquals(404, ask("GET", "/nowhere", "").statusCode());
+        assertEquals(405, ask("POST", "/submissions/run-000001", "").statusCode());
+    }
+
+    @Test
+    void workersAreSentElsewhereWhileNoOwnerIsKnown() throws Exception {
+        assertEquals(503, ask("POST", "/agent/beat", "{\"host\":\"i-1\",\"address\":\"127.0.0.1:1\",\"model\":\"m\","
+                + "\"site\":\"z\",\"loaner\":false,\"shift\":1,\"tally\":1,\"baton\":0,\"pieces\":[]}").statusCode());
+    }
+}
