--- a/src/main/java/org/granitepath/bookkeeping/Mirror.java
+++ b/src/main/java/org/granitepath/bookkeeping/Mirror.java
@@ -22,6 +22,8 @@
     private static final long LONG_POLL_MICROS = 20_000_000;
     private static final long RETRY_MICROS = 400_000;
     private static final int PAGE = 500;
+    /** While barriers follow one another faster than this many spacings, they bring the changes and no long poll waits. */
+    private static final int BARRIERS_SUFFICE = 3;
 
     public enum Phase { LOADING, FOLLOWING }
 
@@ -160,6 +162,10 @@
             return;
         }
         long sent = timers.nowMicros();
+        if (sent - lastBarrierMicros < BARRIERS_SUFFICE * spacingMicros) {
+            timers.after(spacingMicros, this::followOn);
+            return;
+        }
         state.follow(Keys.ALL, epoch, LONG_POLL_MICROS, page -> {
             if (phase != Phase.FOLLOWING) {
                 return;
--- a/src/main/java/org/granitepath/bookkeeping/RosterRecord.java
+++ b/src/main/java/org/granitepath/bookkeeping/RosterRecord.java
@@ -5,8 +5,11 @@
 import java.util.List;
 import java.util.Map;
 
-/** Machines of one owner, each with the baton under which it takes commands. One value holds many machines. */
-public record RosterRecord(String owner, List<Host> hosts) {
+/**
+ * Which machines there are; one value holds many. Whose they are says the owner's record; {@code baton} matters only
+ * where it is higher than the one there: this machine's own, drawn when an order to it had no answer.
+ */
+public record RosterRecord(List<Host> hosts) {
 
     public record Host(String id, String address, String type, String zone, boolean spot, long baton) {}
 
@@ -16,7 +19,6 @@
             rows.add(List.of(h.id(), h.address(), h.type(), h.zone(), h.spot() ? 1 : 0, h.baton()));
         }
         Map<String, Object> m = new LinkedHashMap<>();
-        m.put("owner", owner);
         m.put("hosts", rows);
         return m;
     }
@@ -28,6 +30,6 @@
             hosts.add(new Host((String) r.get(0), (String) r.get(1), (String) r.get(2), (String) r.get(3),
                     ((Number) r.get(4)).intValue() == 1, ((Number) r.get(5)).longValue()));
         }
-        return new RosterRecord(Fields.textOf(m, "owner"), hosts);
+        return new RosterRecord(hosts);
     }
 }
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -117,7 +117,8 @@
                 real(rest, "weight-best-effort", d.bestEffortWeight(), 1, 1e6),
                 real(rest, "patience-share", d.patienceShare(), 0, 1),
                 seconds(rest, "gang-hold-s", d.gangHoldMicros(), 0, 600),
-                (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000));
+                (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000),
+                seconds(rest, "longest-yield-s", d.longestYieldMicros(), 1, 86_400));
         if (!rest.isEmpty()) {
             throw new Invalid(file + ": unknown setting " + rest.keySet().iterator().next());
         }
--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -54,7 +54,7 @@
         this.sinceMicros = nowMicros;
         this.done = TreeRangeSet.create(progress.done());
         this.doneCount = ProgressRecord.count(done);
-        this.claimed = progress.claimed();
+        this.claimed = Math.max(record.claimed(), progress.claimed());
         this.claimWanted = claimed;
         this.fresh = claimed;
         for (int i = 0; i < claimed; i++) {
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -446,10 +446,13 @@
             boolean dead = trustSilence && now - m.heardMicros > silenceMicros();
             boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
                     && now - m.idleSinceMicros > idleMicros(m) && now - m.rentedMicros > LEAST_CHARGE_MICROS;
+            // Its reports come, but our answers and orders don't get there.
+            boolean deaf = m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered
+                    && now - m.unconfirmedMicros > config.leaseMicros() && trustSilence;
             boolean drained = m.phase == Machine.Phase.DRAINING && m.placements.isEmpty();
-            if (m.phase == Machine.Phase.RETURNING || dead || idle || drained) {
+            if (m.phase == Machine.Phase.RETURNING || dead || deaf || idle || drained) {
                 if (m.phase != Machine.Phase.RETURNING) {
-                    m.transition(Machine.Phase.RETURNING, dead ? "silent" : idle ? "idle" : "drained");
+                    m.transition(Machine.Phase.RETURNING, dead ? "silent" : deaf ? "does not hear us" : idle ? "idle" : "drained");
                 }
                 ids.add(m.id);
             }
@@ -466,10 +469,7 @@
             for (String id : ids) {
                 returned.put(id, timers.nowMicros());
                 booting.remove(id);
-                Machine m = dispatcher.machine(id);
-                if (m != null) {
-                    dispatcher.proveGone(m, "returned to the cloud");
-                }
+                dispatcher.returned(id);
             }
         });
     }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
 
 /** What the decision code needs of the settings: the platform's facts and the operators' own choices. */
 public record Config(String node, String incarnation, List<String> peers, List<String> zones, Map<String, Team> teams,
@@ -26,13 +27,28 @@
      * @param idleShare how long a machine may stand idle, in boot times of its type; {@code idleShareSpot} likewise
      * @param patienceShare share of a class's wait aim that may pass before machines are rented at full price
      * @param gangHoldMicros how long freed room is held for a gang that does not fit
-     * @param claimBlock how many tasks of a job are claimed ahead
+     * @param claimBlock how many tasks of a job are claimed ahead, at least
+     * @param longestYieldMicros age from which a job no longer gives way to others that can make their deadlines
      */
     public record Tuning(long leaderLeaseMicros, double idleShare, double idleShareSpot, double criticalWeight, double highWeight,
                          double standardWeight, double bestEffortWeight, double patienceShare,
-                         long gangHoldMicros, int claimBlock) {
+                         long gangHoldMicros, int claimBlock, long longestYieldMicros) {
+        private static final int BLOCKS_OF_A_WIDE_JOB = 6;
+        private static final int WIDE_SERVICE = 32;
+
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6);
+            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6, 150_000_000);
+        }
+
+        /** Tasks claimed with the acceptance: of work that runs together, all. */
+        public int firstBlock(JobSpec spec) {
+            return spec.gang() ? spec.tasks()
+                    : Math.min(spec.tasks(), spec.service() ? Math.max(claimBlock, WIDE_SERVICE) : claimBlock);
+        }
+
+        /** Tasks claimed ahead later on: a wide job must not wait for a write every few tasks. */
+        public int nextBlock(JobSpec spec) {
+            return Math.max(claimBlock, spec.tasks() / BLOCKS_OF_A_WIDE_JOB);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Consolidator.java
@@ -0,0 +1,95 @@
+package org.granitepath.coordination;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+
+/**
+ * Empties the machine that hosts the fewest service replicas when others have room and their images, so that it can
+ * be returned. A replica is stopped only to start at once elsewhere; machines with batch work are left alone.
+ */
+final class Consolidator {
+    private static final long EVERY_MICROS = 4_000_000;
+    private static final double MOST_USED_TO_EMPTY = 0.75;
+    /** A replica is not moved before it has run this long. */
+    private static final long SETTLED_MICROS = 40_000_000;
+
+    private final Dispatcher dispatcher;
+    private final Collection<Machine> machines;
+    private long dueMicros;
+
+    Consolidator(Dispatcher dispatcher, Collection<Machine> machines) {
+        this.dispatcher = dispatcher;
+        this.machines = machines;
+    }
+
+    void tick(long now) {
+        if (now < dueMicros) {
+            return;
+        }
+        dueMicros = now + EVERY_MICROS;
+        for (ActiveJob job : dispatcher.jobs()) {
+            if (job.waiting() > 0) {
+                return;
+            }
+        }
+        Machine emptiest = null;
+        for (Machine m : machines) {
+            if (m.phase == Machine.Phase.DRAINING && !m.placements.isEmpty()) {
+                return; // one at a time
+            }
+            if (mayEmpty(m, now) && (emptiest == null || m.cpuUsedShare() < emptiest.cpuUsedShare())) {
+                emptiest = m;
+            }
+        }
+        if (emptiest == null || !othersHold(emptiest)) {
+            return;
+        }
+        dispatcher.drain(emptiest, "its " + emptiest.placements.size() + " replicas fit elsewhere");
+        for (Placement p : List.copyOf(emptiest.placements.values())) {
+            dispatcher.stop(p, 0, "moves to a fuller machine");
+        }
+    }
+
+    private static boolean mayEmpty(Machine m, long now) {
+        if (!m.takesTasks() || m.placements.isEmpty() || m.cpuUsedShare() > MOST_USED_TO_EMPTY) {
+            return false;
+        }
+        for (Placement p : m.placements.values()) {
+            if (!p.job.spec.service() || p.phase != Placement.Phase.RUNNING
+                    || now - p.runningSinceMicros < SETTLED_MICROS) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images. */
+    private boolean othersHold(Machine from) {
+        Map<Machine, long[]> taken = new LinkedHashMap<>();
+        for (Placement p : from.placements.values()) {
+            JobSpec s = p.job.spec;
+            boolean placed = false;
+            for (Machine m : machines) {
+                if (m == from || !m.takesTasks() || !m.allowedFor(s) || !m.zone.equals(from.zone) && s.spread()
+                        || !m.hasImage(s.image()) || m.cpuUsedShare() <= from.cpuUsedShare()) {
+                    continue;
+                }
+                long[] used = taken.computeIfAbsent(m, k -> new long[3]);
+                if (m.slots(s, -used[0], -used[1], -used[2]) > 0) {
+                    used[0] += s.cpuMillis();
+                    used[1] += s.gpuMillis();
+                    used[2] += s.memoryMillis();
+                    placed = true;
+                    break;
+                }
+            }
+            if (!placed) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -20,8 +20,8 @@
     private static final long TICK_MICROS = 1_000_000;
     private static final long CUT_OFF_MICROS = 2_500_000;
     private static final long TYPES_MICROS = 60_000_000;
-    /** The controllers share the state service; each reads the latest changes at most this often. */
-    private static final double READ_SHARE = 0.12;
+    /** Share of the state service's requests that all controllers together may spend on reading the latest changes. */
+    private static final double READ_SHARE = 0.6;
 
     private final Config config;
     private final StatePort state;
@@ -45,7 +45,7 @@
         this.cloud = cloud;
         this.workers = workers;
         this.timers = timers;
-        this.mirror = new Mirror(state, timers, (long) (1e6 / (config.stateRequests() * READ_SHARE)),
+        this.mirror = new Mirror(state, timers, (long) (1e6 * (config.peers().size() + 1) / (config.stateRequests() * READ_SHARE)),
                 new Mirror.Listener() {
                     @Override
                     public void changed(String key, Map<String, Object> value, long stamp) {
@@ -206,7 +206,9 @@
     }
 
     private void leaveOffice() {
-        dispatcher.end();
-        dispatcher = null;
+        if (dispatcher != null) {
+            dispatcher.end();
+            dispatcher = null;
+        }
     }
 }
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -1,23 +1,20 @@
 package org.granitepath.coordination;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
-import org.granitepath.bookkeeping.Fields;
 import org.granitepath.bookkeeping.JobRecord;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Mirror;
 import org.granitepath.bookkeeping.ProgressRecord;
-import org.granitepath.bookkeeping.Rank;
-import org.granitepath.bookkeeping.RosterRecord;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
@@ -38,14 +35,14 @@
     private static final long ATTEMPTS_PER_TERM = 1L << 24;
     private static final long TICK_MICROS = 500_000;
     private static final long PASS_DELAY_MICROS = 2_000;
-    private static final long ROOM_PATIENCE_MICROS = 1_500_000;
-    /** A task that has run for this long may be stopped for a job with a deadline. */
-    private static final long SETTLED_MICROS = 10_000_000;
-    private static final long CONSOLIDATE_MICROS = 4_000_000;
-    private static final double MOST_USED_TO_EMPTY = 0.75;
-    /** A replica is not moved before it has run this long. */
-    private static final long SETTLED_REPLICA_MICROS = 40_000_000;
-    private static final int CALLS_AT_ONCE = 8;
+    /** The next pass comes no sooner than this many times as long as the last one took. */
+    private static final int PASS_SPACING = 4;
+    private static final long LONGEST_PASS_SPACING_MICROS = 250_000;
+    private static final int TAKEOVER_CALLS_AT_ONCE = 8;
+    private static final long ASK_AGAIN_MICROS = 300_000;
+    private static final int CALLS_AT_ONCE = 48;
+    private static final long NEWS_MICROS = 1_000_000;
+    private static final int DEPARTED_REMEMBERED = 4096;
     private static final int UNCLEARED_ATTEMPTS = 24;
     private static final int FAILURES_OF_A_FAULTY_MACHINE = 3;
     private static final long LONGEST_BACKOFF_MICROS = 60_000_000;
@@ -58,22 +55,34 @@
     private final Timers timers;
     private final WorkerPort workers;
     private final Ledger ledger;
-    private final FairShare fairShare;
+    private final Scheduler scheduler;
+    private final Consolidator consolidator;
+    private final Rosters rosters;
+    private final TeamLimits teamLimits;
     private final Estimates estimates = new Estimates();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
-    private final List<List<String>> rosters = new ArrayList<>();
-    private final Set<Integer> dirtyRosters = new HashSet<>();
-    private final int hostsPerRoster;
+    private final ArrayDeque<Machine> unheard = new ArrayDeque<>();
+    private final Set<Machine> ordersDue = new LinkedHashSet<>();
+    /** Machines that are gone, each with the last session heard: late copies of their reports still arrive. */
+    private final Map<String, Long> departed = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > DEPARTED_REMEMBERED;
+        }
+    };
     private final long startedMicros;
     private boolean ended;
     private int inheritedLeft;
     private long attempts;
-    private long consolidateDueMicros;
+    private long passDueMicros;
     private boolean scheduleDue;
     private boolean passTimerSet;
     private int calls;
+    private int takeoverCalls;
 
     Dispatcher(Config config, Leadership leadership, Leadership.Term term, StatePort state, Mirror mirror, JobBook book,
                Timers timers, WorkerPort workers) {
@@ -84,11 +93,13 @@
         this.book = book;
         this.timers = timers;
         this.workers = workers;
-        this.fairShare = new FairShare(config.tuning());
+        this.teamLimits = new TeamLimits(config.teams());
+        this.scheduler = new Scheduler(config, this, machines.values(), timers, estimates);
+        this.consolidator = new Consolidator(this, machines.values());
         this.startedMicros = timers.nowMicros();
-        this.hostsPerRoster = Math.max(8, config.valueBytes() / 110);
         this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.65,
                 () -> List.of(new Guard(Keys.LEADER, term.leaderStamp())), () -> !ended);
+        this.rosters = new Rosters(config, term, mirror, ledger, machines, this::raised, this::scheduleSoon);
         inheritMachines();
         for (JobRecord record : book.openJobs()) {
             open(record);
@@ -142,7 +153,7 @@
     /** Keeps the machine types on record, for controllers that start while the cloud is away. */
     void recordTypes(List<MachineType> list) {
         if (mirror.value(Keys.TYPES) == null) {
-            ledger.want(Keys.TYPES, 2_000_000, () -> mirror.value(Keys.TYPES) != null ? List.of()
+            ledger.want(Keys.TYPES, Ledger.Urgency.NEWS, 2_000_000, () -> mirror.value(Keys.TYPES) != null ? List.of()
                     : List.of(Change.write(Keys.TYPES,
                             Map.of("types", list.stream().map(MachineType::toMap).toList()))), epoch -> { });
         }
@@ -153,22 +164,16 @@
     private void inheritMachines() {
         long leaseOver = startedMicros + (term.predecessorDead() ? 0 : config.holdMicros())
                 + Config.withDrift(config.leaseMicros()) + Config.MARGIN_MICROS;
-        for (int i = 0; mirror.value(Keys.ROSTER + i) != null; i++) {
-            List<String> row = new ArrayList<>();
-            for (RosterRecord.Host h : RosterRecord.fromMap(mirror.value(Keys.ROSTER + i)).hosts()) {
-                Machine m = new Machine(h.id(), h.address(), h.type(), h.zone(), h.spot());
-                m.baton = term.baton();
-                m.rostered = true;
-                m.inherited = true;
-                m.heardMicros = startedMicros;
-                m.firstHeardMicros = startedMicros;
-                m.idleSinceMicros = startedMicros;
-                m.leaseOverMicros = leaseOver;
-                machines.put(m.id, m);
-                row.add(m.id);
-                inheritedLeft++;
-            }
-            rosters.add(row);
+        for (Machine m : rosters.inherit()) {
+            m.inherited = true;
+            m.heardMicros = startedMicros;
+            m.firstHeardMicros = startedMicros;
+            m.idleSinceMicros = startedMicros;
+            m.unconfirmedMicros = startedMicros;
+            m.leaseOverMicros = leaseOver;
+            machines.put(m.id, m);
+            unheard.add(m);
+            inheritedLeft++;
         }
     }
 
@@ -189,143 +194,47 @@
         scheduleSoon();
     }
 
-    /** Speeds a takeover up: asks every machine not yet heard, and shows it the new baton. */
+    /** Speeds a takeover up: calls the machines not yet heard, a few at a time, and shows them the new baton. */
     private void askInherited() {
-        if (ended) {
-            return;
-        }
-        int left = 0;
-        for (Machine m : machines.values()) {
-            if (m.phase == Machine.Phase.UNCONFIRMED && m.inherited && !m.callUnderWay) {
-                if (calls < CALLS_AT_ONCE) {
-                    confirmByCall(m);
-                }
-                left++;
-            }
-        }
-        if (left > 0) {
-            timers.after(300_000, this::askInherited);
-        }
-    }
-
-    private void confirmByCall(Machine m) {
-        if (m.session >= 0) {
-            showBaton(m);
-            return;
-        }
-        m.callUnderWay = true;
-        calls++;
-        workers.show(m.address, reply -> {
-            calls--;
-            m.callUnderWay = false;
-            if (!ended && reply.report() != null) {
-                hear(m, reply.report(), false);
-                if (m.phase == Machine.Phase.UNCONFIRMED) {
-                    showBaton(m);
-                }
+        while (!ended && !unheard.isEmpty() && takeoverCalls < TAKEOVER_CALLS_AT_ONCE) {
+            Machine m = unheard.poll();
+            if (!m.inherited || m.phase != Machine.Phase.UNCONFIRMED) {
+                continue;
             }
-        });
-    }
-
-    private void enrol(Machine m) {
-        int at = 0;
-        while (at < rosters.size() && rosters.get(at).size() >= hostsPerRoster) {
-            at++;
-        }
-        if (at == rosters.size()) {
-            rosters.add(new ArrayList<>());
-        }
-        rosters.get(at).add(m.id);
-        dirtyRosters.add(at);
-        writeRosters();
-    }
-
-    private void strike(Machine m) {
-        for (int i = 0; i < rosters.size(); i++) {
-            if (rosters.get(i).remove(m.id)) {
-                dirtyRosters.add(i);
-                writeRosters();
+            if (m.callUnderWay) {
+                askAgain(m);
+                continue;
             }
+            takeoverCalls++;
+            callWorker(m, List.of(), List.of(), () -> {
+                takeoverCalls--;
+                if (m.inherited) {
+                    askAgain(m);
+                }
+                askInherited();
+            });
         }
     }
 
-    /** Writes changed rosters; machines that want a new baton get it by the same write. */
-    private void writeRosters() {
-        List<Machine> raised = new ArrayList<>();
-        List<Machine> enrolled = new ArrayList<>();
-        Set<Integer> written = new HashSet<>();
-        long[] drawn = new long[1];
-        ledger.want("roster", 30_000, () -> {
-            raised.clear();
-            enrolled.clear();
-            written.clear();
-            drawn[0] = lastBaton() + 1;
-            List<Change> changes = new ArrayList<>();
-            for (int i = 0; i < rosters.size() && changes.size() < config.txnOps() - 2; i++) {
-                if (!dirtyRosters.contains(i)) {
-                    continue;
-                }
-                List<RosterRecord.Host> hosts = new ArrayList<>();
-                for (String id : rosters.get(i)) {
-                    Machine m = machines.get(id);
-                    if (m.wantsNewBaton) {
-                        raised.add(m);
-                    }
-                    if (!m.rostered) {
-                        enrolled.add(m);
-                    }
-                    hosts.add(m.rosterRow(m.wantsNewBaton ? drawn[0] : m.baton));
-                }
-                written.add(i);
-                changes.add(Change.write(Keys.ROSTER + i, new RosterRecord(config.node(), hosts).toMap()));
-            }
-            if (!raised.isEmpty()) {
-                changes.add(Change.write(Keys.BATON, Map.of("last", drawn[0])));
-            }
-            return changes;
-        }, epoch -> {
-            dirtyRosters.removeAll(written);
-            for (Machine m : enrolled) {
-                m.rostered = true;
-            }
-            for (Machine m : raised) {
-                m.wantsNewBaton = false;
-                m.baton = drawn[0];
-                if (m.phase == Machine.Phase.READY) {
-                    m.transition(Machine.Phase.UNCONFIRMED, "baton raised to " + m.baton);
-                }
-                showBaton(m);
-            }
-            if (!dirtyRosters.isEmpty()) {
-                writeRosters();
-            }
-            scheduleSoon();
+    private void askAgain(Machine m) {
+        timers.after(ASK_AGAIN_MICROS, () -> {
+            unheard.add(m);
+            askInherited();
         });
     }
 
-    private long lastBaton() {
-        Map<String, Object> counter = mirror.value(Keys.BATON);
-        return counter == null ? term.baton() : Fields.longOf(counter, "last", term.baton());
+    private void raised(Machine m) {
+        if (m.phase == Machine.Phase.READY) {
+            m.transition(Machine.Phase.UNCONFIRMED, "baton raised to " + m.baton);
+            m.unconfirmedMicros = timers.nowMicros();
+        }
+        showBaton(m);
     }
 
     /** Shows the worker its present baton by a call without orders, unless a call is under way. */
     private void showBaton(Machine m) {
         if (!m.callUnderWay && m.session >= 0) {
-            callWorker(m, List.of(), List.of());
-        }
-    }
-
-    /** A direct command has no answer: only a higher baton makes sure that it can't be carried out late. */
-    private void raiseBaton(Machine m, String why) {
-        if (!m.wantsNewBaton && m.phase != Machine.Phase.GONE) {
-            LOG.info("machine {} wants a new baton: {}", m.id, why);
-            m.wantsNewBaton = true;
-            for (int i = 0; i < rosters.size(); i++) {
-                if (rosters.get(i).contains(m.id)) {
-                    dirtyRosters.add(i);
-                }
-            }
-            writeRosters();
+            callWorker(m, List.of(), List.of(), () -> { });
         }
     }
 
@@ -339,11 +248,22 @@
             free(p, "machine gone: " + why);
         }
         machines.remove(m.id);
-        strike(m);
+        ordersDue.remove(m);
+        departed.put(m.id, m.session);
+        rosters.strike(m);
         settle(m);
         scheduleSoon();
     }
 
+    /** The cloud took this machine back for good. */
+    void returned(String id) {
+        Machine m = machines.get(id);
+        if (m != null) {
+            proveGone(m, "returned to the cloud");
+        }
+        departed.put(id, Long.MAX_VALUE);
+    }
+
     void drain(Machine m, String why) {
         if (m.phase == Machine.Phase.READY) {
             m.transition(Machine.Phase.DRAINING, why);
@@ -355,11 +275,16 @@
     BeatAnswer beat(Beat beat) {
         Machine m = machines.get(beat.host());
         if (m == null) {
+            if (beat.session() <= departed.getOrDefault(beat.host(), Long.MIN_VALUE)) {
+                LOG.debug("a late copy of a report of {}, which is gone", beat.host());
+                return new BeatAnswer.Unavailable();
+            }
             m = new Machine(beat.host(), beat.address(), beat.type(), beat.zone(), beat.spot());
             m.type = types.get(m.typeName);
             m.baton = term.baton();
             m.firstHeardMicros = timers.nowMicros();
             m.rentedMicros = m.firstHeardMicros;
+            m.unconfirmedMicros = m.firstHeardMicros;
             m.idleSinceMicros = m.firstHeardMicros;
             if (beat.baton() > m.baton) {
                 return new BeatAnswer.Unavailable();
@@ -367,7 +292,7 @@
             LOG.info("machine {} ({} {}{}) reports for the first time", m.id, m.typeName, m.zone,
                     m.spot ? " spot" : "");
             machines.put(m.id, m);
-            enrol(m);
+            rosters.enrol(m);
         }
         if (beat.baton() > m.baton) {
             // Someone with a higher baton gives commands there: either we are deposed, or our own raise is under way.
@@ -380,8 +305,10 @@
             return m.phase != Machine.Phase.GONE && beat.session() == m.session
                     ? new BeatAnswer.Accepted(m.baton, List.of()) : new BeatAnswer.Unavailable();
         }
-        if (scheduleDue) {
+        if (scheduleDue && timers.nowMicros() >= passDueMicros) {
             schedule();
+        } else if (scheduleDue) {
+            scheduleSoon();
         }
         return new BeatAnswer.Accepted(m.baton, ordersFor(m, true));
     }
@@ -393,6 +320,10 @@
         }
         long now = timers.nowMicros();
         boolean current = beat.baton() == m.baton;
+        if (isReport && m.session >= 0 && beat.session() > m.session) {
+            // Its reports come, but do our answers get there? It must show that before it is given work again.
+            rosters.raise(m, "its session moved on to " + beat.session());
+        }
         m.session = beat.session();
         m.sequence = beat.sequence();
         m.heardMicros = now;
@@ -418,11 +349,14 @@
         }
         for (Placement p : List.copyOf(m.placements.values())) {
             if (!listed.contains(p.task) && provedAbsent(p, beat, current, isReport)) {
+                if (!p.seen && p.sentInAnswer && p.session == beat.session()) {
+                    rosters.raise(m, "an answer to it was lost");
+                }
                 free(p, "not in report " + beat.session() + "." + beat.sequence() + " under baton " + beat.baton());
             }
         }
         if (m.directAttempts.size() > UNCLEARED_ATTEMPTS) {
-            raiseBaton(m, "many exited attempts wait to be cleared");
+            rosters.raise(m, "many exited attempts wait to be cleared");
         }
         if (current && m.phase == Machine.Phase.UNCONFIRMED) {
             m.transition(Machine.Phase.READY, "heard under baton " + m.baton);
@@ -481,7 +415,7 @@
             if (p.runningSinceMicros >= 0 && p.certain && !p.takenOver) {
                 estimates.finished(job, now - p.runningSinceMicros);
             }
-            recordProgress(job, 700_000);
+            recordProgress(job, Ledger.Urgency.NEWS, NEWS_MICROS);
         } else if (r.cause() == Cause.FAILED) {
             failed(m, job, now);
         } else if (r.cause() == Cause.UNKNOWN_JOB || r.cause() == Cause.NO_ROOM) {
@@ -515,7 +449,7 @@
             if (open && r.cause() == Cause.DONE && !job.spec.service() && !job.done.contains(id.index())) {
                 Placement other = job.placements.get(id.index());
                 job.markDone(id.index());
-                recordProgress(job, 700_000);
+                recordProgress(job, Ledger.Urgency.NEWS, NEWS_MICROS);
                 if (other != null) {
                     stop(other, 0, "done elsewhere");
                 } else {
@@ -530,15 +464,14 @@
             p.seen = true;
             p.certain = current;
             p.takenOver = true;
-            m.add(p);
-            job.place(p);
+            place(p);
             p.transition(Placement.Phase.SENT, "taken over");
             update(m, p, r, now);
             return true;
         }
         LOG.info("stopping {} attempt {} on {}: job is {}", id, r.attempt(), m.id, job == null ? "not open" : "open");
         m.housekeeping.add(Order.stop(id, r.attempt(), 0));
-        m.ordersDue = true;
+        ordersDue(m);
         scheduleDue = true;
         return false;
     }
@@ -559,12 +492,13 @@
         return book.progressOf(r.task().job()).done().contains(r.task().index());
     }
 
-    private void free(Placement p, String why) {
+    void free(Placement p, String why) {
         if (!p.live()) {
             return;
         }
         p.transition(Placement.Phase.FREED, why);
         p.machine.remove(p, timers.nowMicros());
+        teamLimits.freed(p.job.spec);
         // Taken over from a report that may be old: that it is not here proves nothing about machines not yet heard.
         p.job.unplace(p, !p.certain && inheritedLeft > 0);
         if (p.job.phase == ActiveJob.Phase.OVER && p.job.placements.isEmpty()) {
@@ -575,22 +509,21 @@
 
     // ---- orders ------------------------------------------------------------------------------------------------
 
-    private void stop(Placement p, long graceMicros, String why) {
+    void stop(Placement p, long graceMicros, String why) {
         if (p.phase == Placement.Phase.ASSIGNED) {
             free(p, why);
         } else if (p.live() && p.phase != Placement.Phase.STOPPING) {
             LOG.debug("stopping {} on {}: {}", p.task, p.machine.id, why);
             p.graceMicros = graceMicros;
             p.transition(Placement.Phase.STOPPING, why);
-            p.machine.ordersDue = true;
-            scheduleSoon();
+            ordersDue(p.machine);
         }
     }
 
     /** All that this machine is to do. Stops are repeated until they are seen to work; starts go out once. */
     private List<Order> ordersFor(Machine m, boolean inAnswer) {
         List<Order> orders = new ArrayList<>(m.housekeeping);
-        m.ordersDue = false;
+        ordersDue.remove(m);
         for (Placement p : m.placements.values()) {
             if (p.phase == Placement.Phase.STOPPING) {
                 orders.add(Order.stop(p.task, p.attempt, p.graceMicros));
@@ -607,9 +540,19 @@
         return orders;
     }
 
+    private void ordersDue(Machine m) {
+        ordersDue.add(m);
+        ordersSoon();
+    }
+
+    /** Orders to machines that are quiet would only time out; should one report after all, its answer holds them. */
     private void sendOrders() {
-        for (Machine m : List.copyOf(machines.values())) {
-            if (m.ordersDue && !m.callUnderWay && m.session >= 0 && calls < CALLS_AT_ONCE * 2) {
+        long now = timers.nowMicros();
+        for (Machine m : List.copyOf(ordersDue)) {
+            if (calls >= CALLS_AT_ONCE) {
+                return;
+            }
+            if (!m.callUnderWay && m.session >= 0 && !m.quiet(now, config.reportMicros())) {
                 List<Order> orders = ordersFor(m, false);
                 if (!orders.isEmpty()) {
                     List<Placement> starts = new ArrayList<>();
@@ -618,44 +561,53 @@
                             starts.add(p);
                         }
                     }
-                    callWorker(m, orders, starts);
+                    callWorker(m, orders, starts, () -> { });
                 }
             }
         }
     }
 
-    private void callWorker(Machine m, List<Order> orders, List<Placement> starts) {
+    private void callWorker(Machine m, List<Order> orders, List<Placement> starts, Runnable answered) {
         m.callUnderWay = true;
         calls++;
         long baton = m.baton;
-        workers.send(m.address, baton, m.session, orders, reply -> {
+        // Of a machine taken over the session is not known; a wrong guess is answered with the right one.
+        workers.send(m.address, baton, Math.max(1, m.session), orders, reply -> {
             calls--;
             m.callUnderWay = false;
-            if (ended || m.phase == Machine.Phase.GONE) {
-                return;
-            }
-            if (reply.report() == null) {
-                if (!starts.isEmpty()) {
-                    raiseBaton(m, "a direct start has no answer");
-                }
-            } else {
-                for (Placement p : starts) {
-                    if (p.unansweredBaton == baton) {
-                        p.unansweredBaton = 0;
-                    }
-                }
-                hear(m, reply.report(), false);
+            if (!ended && m.phase != Machine.Phase.GONE) {
+                take(m, baton, starts, reply);
+                ordersSoon();
             }
-            scheduleSoon();
+            answered.run();
         });
     }
 
+    private void take(Machine m, long baton, List<Placement> starts, WorkerPort.Reply reply) {
+        if (reply.report() == null) {
+            if (!starts.isEmpty()) {
+                rosters.raise(m, "a direct start has no answer");
+            }
+            return;
+        }
+        for (Placement p : starts) {
+            if (p.unansweredBaton == baton) {
+                p.unansweredBaton = 0;
+            }
+        }
+        hear(m, reply.report(), false);
+        if (!reply.executed() && m.phase == Machine.Phase.UNCONFIRMED && reply.report().baton() <= m.baton) {
+            showBaton(m);
+        }
+    }
+
     // ---- jobs --------------------------------------------------------------------------------------------------
 
     private void open(JobRecord record) {
         ActiveJob job = new ActiveJob(record, book.progressOf(record.spec().id()), timers.nowMicros());
         jobs.put(record.spec().id(), job);
-        if (inheritedLeft == 0) {
+        // What was accepted after the term began can't have been started by a predecessor.
+        if (inheritedLeft == 0 || mirror.stamp(Keys.JOB + job.spec.id()) > term.leaderStamp()) {
             job.settleDoubt();
         }
         endIfDone(job);
@@ -708,36 +660,41 @@
         scheduleSoon();
     }
 
-    private void claim(ActiveJob job) {
-        int want = job.spec.gang() ? job.spec.tasks()
-                : Math.min(job.spec.tasks(), job.fresh + config.tuning().claimBlock());
-        if (want > job.claimWanted) {
+    /** Claims the next block of task numbers in good time, before the present one is used up. */
+    void claim(ActiveJob job) {
+        int block = config.tuning().nextBlock(job.spec);
+        int want = job.spec.gang() ? job.spec.tasks() : Math.min(job.spec.tasks(), job.fresh + block);
+        if (want > job.claimWanted && (want == job.spec.tasks() || job.claimWanted - job.fresh <= block / 2)) {
             job.claimWanted = want;
-            recordProgress(job, 0);
+            recordProgress(job, Ledger.Urgency.WORK, 0);
         }
     }
 
-    private void recordProgress(ActiveJob job, long delayMicros) {
+    private void recordProgress(ActiveJob job, Ledger.Urgency urgency, long delayMicros) {
         String key = Keys.PROGRESS + job.spec.id();
-        ledger.want(key, delayMicros, () -> job.phase == ActiveJob.Phase.OVER ? List.of()
+        ledger.want(key, urgency, delayMicros, () -> job.phase == ActiveJob.Phase.OVER ? List.of()
                 : List.of(Change.write(key, new ProgressRecord(config.node(), job.claimWanted, job.done,
                         job.running()).toMap())), epoch -> scheduleSoon());
     }
 
     private void recordDone(ActiveJob job) {
         String key = Keys.FINAL + job.spec.id();
-        ledger.want(key, 0, () -> mirror.value(key) != null ? List.of()
+        ledger.want(key, Ledger.Urgency.SAFETY, 0, () -> mirror.value(key) != null ? List.of()
                 : List.of(Change.write(key, JobBook.finalRecord(JobBook.Final.DONE))), epoch -> { });
     }
 
-    // ---- scheduling --------------------------------------------------------------------------------------------
+    // ---- passes ------------------------------------------------------------------------------------------------
 
     /** Asks for a pass over the waiting jobs and for orders to go out, shortly and together. */
     void scheduleSoon() {
         scheduleDue = true;
+        ordersSoon();
+    }
+
+    private void ordersSoon() {
         if (!passTimerSet) {
             passTimerSet = true;
-            timers.after(PASS_DELAY_MICROS, () -> {
+            timers.after(Math.max(PASS_DELAY_MICROS, passDueMicros - timers.nowMicros()), () -> {
                 passTimerSet = false;
                 if (!ended) {
                     if (scheduleDue) {
@@ -749,299 +706,51 @@
         }
     }
 
-    /** Tasks alike in every need are decided together: when one does not fit, none of its like does in this pass. */
-    private record Shape(long cpu, long gpu, long memory, List<String> types, String zone, boolean spot, Rank rank) {
-        static Shape of(JobSpec s) {
-            return new Shape(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), s.spot(), s.rank());
-        }
-    }
-
-    private record Candidate(ActiveJob job, Turn turn, double share) {}
-
-    /**
-     * Live services come first. Of the rest, a job that can still meet its deadline goes before one for which that is
-     * past hope, so that room is not spent on what is late all the same; among equals the lowest share decides.
-     */
-    private enum Turn { LIVE, IN_TIME, NEARLY, ANY }
-
-    private static final Comparator<Candidate> LOWEST_FIRST = Comparator
-            .comparing(Candidate::turn)
-            .thenComparingDouble(Candidate::share)
-            .thenComparing(c -> c.job().spec.rank())
-            .thenComparingLong(c -> c.job().acceptedMicros);
-
-    private Candidate candidate(ActiveJob job) {
-        return new Candidate(job, turn(job, timers.nowMicros()), fairShare.share(job.spec.rank(), job.spec.hasDeadline(), job.spec.tasks(),
-                job.left(), job.running()));
-    }
-
-    private Turn turn(ActiveJob job, long now) {
-        if (isLive(job)) {
-            return Turn.LIVE;
-        }
-        if (!job.spec.hasDeadline()) {
-            return Turn.ANY;
-        }
-        long finish = ageMicros(job, now) + estimates.taskMicros(job);
-        Config.Objective objective = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
-        if (objective.deadlineTimes() == 0 && objective.finishMicros() > 0) {
-            // The class is judged by a time of its own; its owners' deadlines are wishes.
-            return finish <= objective.finishMicros() ? Turn.IN_TIME : Turn.ANY;
-        }
-        return finish <= job.spec.deadlineMicros() ? Turn.IN_TIME
-                : finish <= job.spec.deadlineMicros() * objective.deadlineTimes() ? Turn.NEARLY : Turn.ANY;
-    }
-
-    /** Time since the job was accepted, as far as the clocks agree. */
-    long ageMicros(ActiveJob job, long now) {
-        return Math.max(now - job.sinceMicros, timers.timeOfDayMicros() - job.acceptedMicros - config.skewMicros());
-    }
-
-    Estimates estimates() {
-        return estimates;
-    }
-
-    /** One pass: again and again one task to the job with the lowest share, until nothing more fits. */
+    /** A pass over a large fleet takes its time: the next one waits for several times as long, for reports' sake. */
     private void schedule() {
+        long began = timers.nowMicros();
         scheduleDue = false;
-        long now = timers.nowMicros();
-        PriorityQueue<Candidate> queue = new PriorityQueue<>(LOWEST_FIRST);
-        for (ActiveJob job : jobs.values()) {
-            if (job.waiting() <= 0) {
-                job.waitingSinceMicros = -1;
-                continue;
-            }
-            if (job.notBeforeMicros > now) {
-                continue;
-            }
-            claim(job);
-            if (job.waitingSinceMicros < 0) {
-                job.waitingSinceMicros = now;
-            }
-            if (job.hasClaimedTask()) {
-                queue.add(candidate(job));
-            }
-        }
-        Set<Shape> hopeless = new HashSet<>();
-        while (!queue.isEmpty()) {
-            ActiveJob job = queue.poll().job();
-            Shape shape = Shape.of(job.spec);
-            if (hopeless.contains(shape) || !teamAllows(job.spec)) {
-                continue;
-            }
-            if (job.spec.gang()) {
-                if (startWhole(job, now) || !holdsRoom(job, now)) {
-                    continue;
-                }
-                break; // room that becomes free now goes to the gang
-            }
-            Machine m = pick(job);
-            if (m == null || isLive(job) && !m.hasImage(job.spec.image())) {
-                int coming = makeRoom(job, m != null, now);
-                // A moment's patience gets a live replica onto a machine that already has its image.
-                if (m == null || coming > 0 && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS) {
-                    if (m == null && !job.spec.spread() && !job.spec.oneZone()) {
-                        hopeless.add(shape);
-                    }
-                    continue;
-                }
-            }
-            start(job, m, now);
-            claim(job);
-            if (job.waiting() > 0 && job.hasClaimedTask()) {
-                queue.add(candidate(job));
-            }
-            if (!passTimerSet) {
-                scheduleSoon();
-                scheduleDue = false;
-            }
-        }
-    }
-
-    /** Starts all that is left of a gang, or nothing. */
-    private boolean startWhole(ActiveJob job, long now) {
-        if (job.running() > 0 || job.claimed < job.spec.tasks()) {
-            return true; // not to be started now: its tasks are still on machines, or not claimed yet
-        }
-        List<Placement> placed = new ArrayList<>();
-        while (job.waiting() > 0) {
-            Machine m = teamAllows(job.spec) ? pick(job) : null;
-            if (m == null) {
-                placed.forEach(p -> free(p, "the gang does not fit"));
-                return false;
-            }
-            placed.add(start(job, m, now));
-        }
-        job.heldSinceMicros = -1;
-        return true;
+        scheduler.pass();
+        long ended = timers.nowMicros();
+        passDueMicros = ended + Math.min(LONGEST_PASS_SPACING_MICROS, PASS_SPACING * (ended - began));
     }
 
-    /** Whether freed room is to be held for a gang that is lowest and does not fit; for a set time only. */
-    private boolean holdsRoom(ActiveJob job, long now) {
-        if (job.heldSinceMicros < 0) {
-            job.heldSinceMicros = now;
-        }
-        if (now - job.heldSinceMicros < config.tuning().gangHoldMicros()) {
-            return true;
-        }
-        LOG.debug("gang {} is passed over: it does not fit", job.spec.id());
-        job.heldSinceMicros = -1;
-        job.notBeforeMicros = now + config.tuning().gangHoldMicros();
-        return false;
-    }
-
-    private Placement start(ActiveJob job, Machine m, long now) {
+    Placement start(ActiveJob job, Machine m, long now) {
         TaskId id = new TaskId(job.spec.id(), job.takeTask());
         // The members of a gang find one another by their common attempt.
         if (!job.spec.gang() || job.placements.isEmpty()) {
             attempts++;
         }
         Placement p = new Placement(id, job, m, term.baton() * ATTEMPTS_PER_TERM + attempts, m.session, now);
-        m.add(p);
-        job.place(p);
-        m.ordersDue = true;
+        place(p);
+        ordersDue(m);
         LOG.debug("task {} goes to {} (running {}, left {})", id, m.id, job.running(), job.left());
         return p;
     }
 
-    private static boolean isLive(ActiveJob job) {
-        return job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
-    }
-
-    private boolean eligible(Machine m, ActiveJob job) {
-        return m.takesTasks() && m.allowedFor(job.spec) && job.zoneAllows(m.zone);
-    }
-
-    private Machine pick(ActiveJob job) {
-        Machine best = null;
-        double bestScore = Double.NEGATIVE_INFINITY;
-        for (Machine m : machines.values()) {
-            if (eligible(m, job) && m.hasRoom(job.spec)) {
-                double score = score(m, job.spec);
-                if (score > bestScore) {
-                    bestScore = score;
-                    best = m;
-                }
-            }
-        }
-        return best;
+    private void place(Placement p) {
+        p.machine.add(p);
+        p.job.place(p);
+        teamLimits.placed(p.job.spec);
     }
 
-    /**
-     * Machines that have the image come first, then tight fits. Services gather on machines that already hold some,
-     * batch work on the others and on spot machines, so that emptied machines can be returned.
-     */
-    private static double score(Machine m, JobSpec spec) {
-        double score = m.hasImage(spec.image()) ? 20 : m.fetches(spec.image()) ? 10 : m.type.fetchGbPerSecond();
-        score -= 4.0 * (m.cpuFree() - spec.cpuMillis()) / m.type.cpuMillis();
-        score -= 5.0 * m.failures;
-        boolean mixed = m.hostsService();
-        return spec.service() ? score + (mixed ? 12 : 0) : score + (m.spot ? 6 : 0) - (mixed ? 6 : 0);
+    /** Whether a job may use this machine now, room aside. */
+    boolean eligible(Machine m, ActiveJob job, long now) {
+        return m.takesTasks() && m.allowedFor(job.spec) && job.zoneAllows(m.zone)
+                && !m.quiet(now, config.reportMicros());
     }
 
     boolean teamAllows(JobSpec spec) {
-        Config.Team team = config.teams().get(spec.team());
-        if (team == null || team.cpuLimit() == 0 && team.gpuLimit() == 0) {
-            return true;
-        }
-        if (inheritedLeft > 0) {
-            return false;
-        }
-        long cpu = spec.cpuMillis();
-        long gpu = spec.gpuMillis();
-        for (ActiveJob j : jobs.values()) {
-            if (j.spec.team().equals(spec.team())) {
-                cpu += j.placements.size() * j.spec.cpuMillis();
-                gpu += j.placements.size() * j.spec.gpuMillis();
-            }
-        }
-        return (team.cpuLimit() == 0 || cpu <= team.cpuLimit()) && (team.gpuLimit() == 0 || gpu <= team.gpuLimit());
+        return teamLimits.allows(spec) && (inheritedLeft == 0 || !teamLimits.limits(spec));
     }
 
-    /**
-     * Makes room by stopping work of lower rank, where least is lost, and returns how many tasks of this job will fit
-     * once that work is gone. Live services may stop anything below them at once; jobs with a deadline only work
-     * that saves itself first.
-     *
-     * @param withImageOnly only on machines that already have the job's image
-     */
-    private int makeRoom(ActiveJob job, boolean withImageOnly, long now) {
-        boolean live = isLive(job);
-        if (!live && !job.spec.hasDeadline()) {
-            return 0;
-        }
-        int coming = 0;
-        Machine best = null;
-        List<Placement> bestVictims = null;
-        double bestLoss = Double.POSITIVE_INFINITY;
-        for (Machine m : machines.values()) {
-            if (!eligible(m, job) || withImageOnly && !m.hasImage(job.spec.image())
-                    || now - m.heardMicros > 2 * config.reportMicros()) {
-                continue;
-            }
-            long cpu = 0;
-            long gpu = 0;
-            long memory = 0;
-            List<Placement> candidates = new ArrayList<>();
-            for (Placement p : m.placements.values()) {
-                if (p.phase == Placement.Phase.STOPPING) {
-                    cpu += p.job.spec.cpuMillis();
-                    gpu += p.job.spec.gpuMillis();
-                    memory += p.job.spec.memoryMillis();
-                } else if (mayStopFor(job, live, p, now)) {
-                    candidates.add(p);
-                }
-            }
-            int soon = m.slots(job.spec, cpu, gpu, memory);
-            if (soon > 0) {
-                coming += soon;
-                continue;
-            }
-            candidates.sort(Comparator.comparingDouble(p -> loss(p, now)));
-            List<Placement> victims = new ArrayList<>();
-            double loss = m.hasImage(job.spec.image()) ? 0 : job.spec.imageGb() / m.type.fetchGbPerSecond() * 1e9;
-            for (Placement p : candidates) {
-                victims.add(p);
-                loss += loss(p, now);
-                cpu += p.job.spec.cpuMillis();
-                gpu += p.job.spec.gpuMillis();
-                memory += p.job.spec.memoryMillis();
-                if (m.slots(job.spec, cpu, gpu, memory) > 0) {
-                    if (loss < bestLoss) {
-                        bestLoss = loss;
-                        best = m;
-                        bestVictims = victims;
-                    }
-                    break;
-                }
-            }
-        }
-        if (best != null && coming < job.waiting()) {
-            for (Placement p : bestVictims) {
-                LOG.info("stopping {} on {} to make room for {}", p.task, best.id, job.spec.id());
-                stop(p, live ? 0 : p.job.spec.saveMicros(), "room for " + job.spec.id());
-            }
-            coming++;
-        }
-        return coming;
-    }
-
-    private static boolean mayStopFor(ActiveJob job, boolean live, Placement p, long now) {
-        JobSpec victim = p.job.spec;
-        if (!job.spec.rank().above(victim.rank()) || victim.service()) {
-            return false;
-        }
-        return live || victim.checkpointMicros() > 0 && p.runningSinceMicros >= 0
-                && now - p.runningSinceMicros > SETTLED_MICROS;
+    /** Time since the job was accepted, as far as the clocks agree. */
+    long ageMicros(ActiveJob job, long now) {
+        return Math.max(now - job.sinceMicros, timers.timeOfDayMicros() - job.acceptedMicros - config.skewMicros());
     }
 
-    /** CPU time that stopping this task throws away. */
-    private static double loss(Placement p, long now) {
-        long ran = p.runningSinceMicros < 0 ? 0 : now - p.runningSinceMicros;
-        long interval = p.job.spec.checkpointMicros();
-        long unsaved = interval > 0 ? ran % interval : ran;
-        return (double) p.job.spec.cpuMillis() * (unsaved + 1_000_000) * (p.job.spec.rank().above(Rank.BEST_EFFORT)
-                ? 3 : 1);
+    Estimates estimates() {
+        return estimates;
     }
 
     /** A spot machine is about to be taken: work that can be saved or won't finish moves. */
@@ -1057,78 +766,6 @@
         }
     }
 
-    /**
-     * Empties the machine that hosts the fewest service replicas when others have room and their images, so that it
-     * can be returned. A replica is stopped only to start at once elsewhere; machines with batch work are left alone.
-     */
-    private void consolidate(long now) {
-        if (inheritedLeft > 0 || now < consolidateDueMicros || !leadership.certain()) {
-            return;
-        }
-        consolidateDueMicros = now + CONSOLIDATE_MICROS;
-        for (ActiveJob job : jobs.values()) {
-            if (job.waiting() > 0) {
-                return;
-            }
-        }
-        Machine emptiest = null;
-        for (Machine m : machines.values()) {
-            if (m.phase == Machine.Phase.DRAINING && !m.placements.isEmpty()) {
-                return; // one at a time
-            }
-            if (mayEmpty(m, now) && (emptiest == null || m.cpuUsedShare() < emptiest.cpuUsedShare())) {
-                emptiest = m;
-            }
-        }
-        if (emptiest == null || !othersHold(emptiest)) {
-            return;
-        }
-        drain(emptiest, "its " + emptiest.placements.size() + " replicas fit elsewhere");
-        for (Placement p : List.copyOf(emptiest.placements.values())) {
-            stop(p, 0, "moves to a fuller machine");
-        }
-    }
-
-    private boolean mayEmpty(Machine m, long now) {
-        if (!m.takesTasks() || m.placements.isEmpty() || m.cpuUsedShare() > MOST_USED_TO_EMPTY) {
-            return false;
-        }
-        for (Placement p : m.placements.values()) {
-            if (!p.job.spec.service() || p.phase != Placement.Phase.RUNNING
-                    || now - p.runningSinceMicros < SETTLED_REPLICA_MICROS) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images. */
-    private boolean othersHold(Machine from) {
-        Map<Machine, long[]> taken = new LinkedHashMap<>();
-        for (Placement p : from.placements.values()) {
-            JobSpec s = p.job.spec;
-            boolean placed = false;
-            for (Machine m : machines.values()) {
-                if (m == from || !m.takesTasks() || !m.allowedFor(s) || !m.zone.equals(from.zone) && s.spread()
-                        || !m.hasImage(s.image()) || m.cpuUsedShare() <= from.cpuUsedShare()) {
-                    continue;
-                }
-                long[] used = taken.computeIfAbsent(m, k -> new long[3]);
-                if (m.slots(s, -used[0], -used[1], -used[2]) > 0) {
-                    used[0] += s.cpuMillis();
-                    used[1] += s.gpuMillis();
-                    used[2] += s.memoryMillis();
-                    placed = true;
-                    break;
-                }
-            }
-            if (!placed) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     // ---- time --------------------------------------------------------------------------------------------------
 
     private void tick() {
@@ -1142,14 +779,24 @@
             // know of may be answering this worker. So the state service must have confirmed us after the end.
             if (m.leaseOverMicros > 0 && leadership.confirmedMicros() > m.leaseOverMicros) {
                 proveGone(m, "its lease is over");
-            } else if (m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered && m.session >= 0
-                    && !m.callUnderWay && !m.wantsNewBaton && calls < CALLS_AT_ONCE) {
+                continue;
+            }
+            boolean quiet = m.quiet(now, config.reportMicros());
+            if (m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered && !m.wantsNewBaton && !quiet
+                    && calls < CALLS_AT_ONCE) {
                 showBaton(m);
-            } else if (m.placements.values().stream().anyMatch(p -> p.phase == Placement.Phase.STOPPING)) {
-                m.ordersDue = true;
             }
+            for (Placement p : quiet ? List.copyOf(m.placements.values()) : m.placements.values()) {
+                if (quiet && p.phase == Placement.Phase.ASSIGNED) {
+                    free(p, "never sent: the machine has fallen silent");
+                } else if (p.phase == Placement.Phase.STOPPING) {
+                    ordersDue(m);
+                }
+            }
+        }
+        if (inheritedLeft == 0 && leadership.certain()) {
+            consolidator.tick(now);
         }
-        consolidate(now);
         scheduleSoon();
     }
 }
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -19,8 +19,8 @@
 
 /**
  * Who owns the machines. The owner holds a leased key; the transaction that takes it also draws the next baton from
- * the shared counter and writes every roster anew under owner and baton, so that no machine is ever without exactly
- * one owner on record and no two owners share a baton.
+ * the shared counter and names the owner of all machines on the rosters there. It is the same small write however many
+ * machines there are; the rosters say only which these are, and only the owner on record can change them.
  */
 final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
@@ -180,19 +180,10 @@
         leader.put("baton", baton);
         leader.put("at", timers.timeOfDayMicros());
         changes.add(new Change(Keys.LEADER, leader, newLease));
-        changes.add(Change.write(Keys.BATON, Map.of("last", baton)));
-        for (int i = 0; mirror.value(Keys.ROSTER + i) != null; i++) {
-            RosterRecord old = RosterRecord.fromMap(mirror.value(Keys.ROSTER + i));
-            List<RosterRecord.Host> hosts = old.hosts().stream().map(h -> new RosterRecord.Host(h.id(), h.address(),
-                    h.type(), h.zone(), h.spot(), baton)).toList();
-            changes.add(Change.write(Keys.ROSTER + i, new RosterRecord(config.node(), hosts).toMap()));
-        }
+        changes.add(Change.write(Keys.BATON, batonRecord(config.node(), baton, baton)));
         for (Change c : changes) {
             guards.add(new Guard(c.key(), mirror.stamp(c.key())));
         }
-        // A roster begun meanwhile by the former owner must not be overlooked.
-        int rosters = changes.size() - 2;
-        guards.add(new Guard(Keys.ROSTER + rosters, 0));
         state.commit(new Txn(guards, changes), answer -> {
             if (answer.outcome() != Outcome.OK) {
                 // If it is carried out all the same, nobody touches the lease and the key goes with it.
@@ -208,10 +199,35 @@
                 mirror.applied(c.key(), c.value(), answer.epoch());
             }
             transition(Phase.LEADING, "baton " + baton);
-            listener.elected(term);
+            takeOver(term);
         });
     }
 
+    /**
+     * The term begins once the mirror is as new as the write that began it: a late write of the former owner may have
+     * gone in just before ours, and a roster begun by it must not be overlooked. After ours none of its writes can.
+     */
+    private void takeOver(Term ours) {
+        mirror.barrier(fresh -> {
+            if (term != ours) {
+                return;
+            }
+            if (fresh) {
+                listener.elected(ours);
+            } else {
+                timers.after(CHECK_MICROS, () -> takeOver(ours));
+            }
+        });
+    }
+
+    /**
+     * The owner's record: all machines on the rosters belong to {@code owner} under the baton {@code term}, but for those
+     * whose row names a higher one. It outlives the owner's lease, so no machine is ever without exactly one owner.
+     */
+    static Map<String, Object> batonRecord(String owner, long term, long last) {
+        return Map.of("owner", owner, "term", term, "last", last);
+    }
+
     private void retreat(String why) {
         quietUntilMicros = timers.nowMicros() + config.tuning().leaderLeaseMicros() / 10;
         transition(Phase.FOLLOWING, why);
--- a/src/main/java/org/granitepath/coordination/Ledger.java
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -27,8 +27,11 @@
     private static final long RETRY_MICROS = 300_000;
     private static final int TXN_BYTES = 48 * 1024;
 
+    /** What goes first when the budget is short: what keeps work safe, what lets work start, what merely tells of it. */
+    public enum Urgency { SAFETY, WORK, NEWS }
+
     /** One thing to be written: a few changes that belong together. */
-    private record Entry(Supplier<List<Change>> content, LongConsumer committed, long dueMicros) {}
+    private record Entry(Urgency urgency, Supplier<List<Change>> content, LongConsumer committed, long dueMicros) {}
 
     private final StatePort state;
     private final Mirror mirror;
@@ -61,17 +64,16 @@
      * Asks for a write. A later wish under the same name replaces an earlier one, but never puts it off. An empty
      * content withdraws it.
      */
-    public void want(String name, long delayMicros, Supplier<List<Change>> content, LongConsumer committed) {
+    public void want(String name, Urgency urgency, long delayMicros, Supplier<List<Change>> content,
+                     LongConsumer committed) {
         long due = timers.nowMicros() + delayMicros;
         Entry old = wanted.get(name);
-        wanted.put(name, new Entry(content, committed, old == null ? due : Math.min(due, old.dueMicros())));
+        wanted.put(name, old == null ? new Entry(urgency, content, committed, due)
+                : new Entry(urgency.compareTo(old.urgency()) < 0 ? urgency : old.urgency(), content, committed,
+                Math.min(due, old.dueMicros())));
         pump();
     }
 
-    public boolean pending(String name) {
-        return wanted.containsKey(name);
-    }
-
     private void pump() {
         if (busy || wanted.isEmpty() || !open.getAsBoolean()) {
             return;
@@ -92,26 +94,7 @@
         }
         Map<String, Entry> sent = new LinkedHashMap<>();
         List<Change> changes = new ArrayList<>();
-        int bytes = 0;
-        for (var it = wanted.entrySet().iterator(); it.hasNext(); ) {
-            var named = it.next();
-            if (named.getValue().dueMicros() > now && changes.size() * 2 >= txnOps) {
-                continue;
-            }
-            List<Change> content = named.getValue().content().get();
-            if (content.isEmpty()) {
-                it.remove();
-                continue;
-            }
-            int size = content.stream().mapToInt(c -> String.valueOf(c.value()).length() + 100).sum();
-            if (!changes.isEmpty() && (changes.size() + content.size() > Math.min(txnOps, Math.max(1, (int) tokens))
-                    || bytes + size > TXN_BYTES)) {
-                continue;
-            }
-            changes.addAll(content);
-            bytes += size;
-            sent.put(named.getKey(), named.getValue());
-        }
+        gather(now, changes, sent);
         if (changes.isEmpty()) {
             pump();
             return;
@@ -142,6 +125,37 @@
         });
     }
 
+    /** Fills one transaction, most urgent first. Contents are made only while there is room: hundreds may wait. */
+    private void gather(long now, List<Change> changes, Map<String, Entry> sent) {
+        int most = Math.min(txnOps, Math.max(1, (int) tokens));
+        int bytes = 0;
+        List<String> withdrawn = new ArrayList<>();
+        for (Urgency urgency : Urgency.values()) {
+            for (var named : wanted.entrySet()) {
+                Entry e = named.getValue();
+                if (changes.size() >= most) {
+                    break;
+                }
+                if (e.urgency() != urgency || e.dueMicros() > now && changes.size() * 2 >= txnOps) {
+                    continue;
+                }
+                List<Change> content = e.content().get();
+                if (content.isEmpty()) {
+                    withdrawn.add(named.getKey());
+                    continue;
+                }
+                int size = content.stream().mapToInt(c -> String.valueOf(c.value()).length() + 100).sum();
+                if (!changes.isEmpty() && (changes.size() + content.size() > most || bytes + size > TXN_BYTES)) {
+                    continue;
+                }
+                changes.addAll(content);
+                bytes += size;
+                sent.put(named.getKey(), e);
+            }
+        }
+        wanted.keySet().removeAll(withdrawn);
+    }
+
     private void readBack(long delayMicros) {
         timers.after(delayMicros, () -> mirror.barrier(fresh -> {
             if (!open.getAsBoolean()) {
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -33,16 +33,19 @@
     long baton;
     /** Whether the state service has this machine on our roster with {@link #baton}. Nothing starts before. */
     boolean rostered;
+    /** The value that holds its row on record. */
+    int roster = -1;
     boolean wantsNewBaton;
     /** Taken over with its tasks unknown. */
     boolean inherited;
     long session = -1;
     long sequence = -1;
     long heardMicros;
+    /** Since when it has not been heard under its present baton. */
+    long unconfirmedMicros;
     /** From this moment on nobody can have kept the worker's lease alive, provided that we don't either. */
     long leaseOverMicros;
     boolean callUnderWay;
-    boolean ordersDue;
     int failures;
     long idleSinceMicros;
     long firstHeardMicros;
@@ -57,6 +60,7 @@
     private long cpuUsed;
     private long gpuUsed;
     private long memoryUsed;
+    private int services;
 
     Machine(String id, String address, String typeName, String zone, boolean spot) {
         this.id = id;
@@ -77,12 +81,18 @@
         return phase == Phase.READY && rostered && !wantsNewBaton && type != null;
     }
 
+    /** Whether a report is overdue by so much that an order would hardly arrive. */
+    boolean quiet(long nowMicros, long reportMicros) {
+        return nowMicros - heardMicros > 2 * reportMicros + 1_000_000;
+    }
+
     void add(Placement p) {
         placements.put(p.task, p);
         JobSpec s = p.job.spec;
         cpuUsed += s.cpuMillis();
         gpuUsed += s.gpuMillis();
         memoryUsed += s.memoryMillis();
+        services += s.service() ? 1 : 0;
     }
 
     /** A task that needs this image runs here, so the machine has it. */
@@ -105,12 +115,7 @@
     }
 
     boolean hostsService() {
-        for (Placement p : placements.values()) {
-            if (p.job.spec.service()) {
-                return true;
-            }
-        }
-        return false;
+        return services > 0;
     }
 
     void remove(Placement p, long nowMicros) {
@@ -119,6 +124,7 @@
             cpuUsed -= s.cpuMillis();
             gpuUsed -= s.gpuMillis();
             memoryUsed -= s.memoryMillis();
+            services -= s.service() ? 1 : 0;
             if (placements.isEmpty()) {
                 idleSinceMicros = nowMicros;
             }
@@ -137,6 +143,10 @@
         return type == null ? 0 : type.cpuMillis() - cpuUsed;
     }
 
+    boolean hasFree(long cpuMillis, long memoryMillis) {
+        return type.cpuMillis() - cpuUsed >= cpuMillis && type.memoryMillis() - memoryUsed >= memoryMillis;
+    }
+
     boolean hasRoom(JobSpec s) {
         return slots(s, 0, 0, 0) > 0;
     }
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -0,0 +1,250 @@
+package org.granitepath.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Rank;
+import org.granitepath.bookkeeping.Timers;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The order of jobs and the choice of machines: again and again one task to the job with the lowest share. */
+final class Scheduler {
+    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+    private static final long ROOM_PATIENCE_MICROS = 1_500_000;
+
+    /**
+     * Live services come first. Of the rest, a job that can still meet its deadline goes before one for which that is
+     * past hope, so that room is not spent on what is late all the same; among equals the lowest share decides.
+     */
+    private enum Turn { LIVE, IN_TIME, NEARLY, ANY }
+
+    private record Candidate(ActiveJob job, Turn turn, double share) {}
+
+    private static final Comparator<Candidate> LOWEST_FIRST = Comparator
+            .comparing(Candidate::turn)
+            .thenComparingDouble(Candidate::share)
+            .thenComparing(c -> c.job().spec.rank())
+            .thenComparingLong(c -> c.job().acceptedMicros);
+
+    /** What a task needs. When one finds no room, none that needs as much or more at the same places does either. */
+    private record Needs(long cpu, long gpu, long memory, List<String> types, String zone, List<String> closedZones,
+                         boolean spot, Rank rank) {
+        boolean atMost(Needs other) {
+            return cpu <= other.cpu && gpu <= other.gpu && memory <= other.memory && spot == other.spot
+                    && rank == other.rank && java.util.Objects.equals(types, other.types)
+                    && java.util.Objects.equals(zone, other.zone) && closedZones.equals(other.closedZones);
+        }
+    }
+
+    private final Config config;
+    private final Dispatcher dispatcher;
+    private final Collection<Machine> machines;
+    private final Timers timers;
+    private final FairShare fairShare;
+    private final Estimates estimates;
+    private final RoomMaker roomMaker;
+    /** Machines that take tasks and have some room, in this pass. */
+    private final List<Machine> roomy = new ArrayList<>();
+
+    Scheduler(Config config, Dispatcher dispatcher, Collection<Machine> machines, Timers timers, Estimates estimates) {
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.machines = machines;
+        this.timers = timers;
+        this.estimates = estimates;
+        this.fairShare = new FairShare(config.tuning());
+        this.roomMaker = new RoomMaker(dispatcher, machines);
+    }
+
+    static boolean isLive(ActiveJob job) {
+        return job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
+    }
+
+    /** One pass, until nothing more fits. */
+    void pass() {
+        long now = timers.nowMicros();
+        PriorityQueue<Candidate> queue = candidates(now);
+        if (queue.isEmpty()) {
+            return;
+        }
+        findRoom(queue, now);
+        List<Needs> hopeless = new ArrayList<>();
+        while (!queue.isEmpty()) {
+            ActiveJob job = queue.poll().job();
+            Needs needs = needs(job);
+            if (hopeless.stream().anyMatch(h -> h.atMost(needs)) || !dispatcher.teamAllows(job.spec)) {
+                continue;
+            }
+            if (job.spec.gang()) {
+                if (startWhole(job, now) || !holdsRoom(job, now)) {
+                    continue;
+                }
+                break; // room that becomes free now goes to the gang
+            }
+            Machine m = pick(job);
+            if (m == null) {
+                hopeless.add(needs);
+                roomMaker.makeRoom(job, job.waiting() + waitingAlike(queue, needs), false, now);
+                continue;
+            }
+            // A moment's patience gets a live replica onto a machine that already has its image.
+            if (isLive(job) && !m.hasImage(job.spec.image()) && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS
+                    && roomMaker.makeRoom(job, 1, true, now) > 0) {
+                continue;
+            }
+            dispatcher.start(job, m, now);
+            dispatcher.claim(job);
+            if (job.waiting() > 0 && job.hasClaimedTask()) {
+                queue.add(candidate(job, now));
+            }
+        }
+    }
+
+    private PriorityQueue<Candidate> candidates(long now) {
+        PriorityQueue<Candidate> queue = new PriorityQueue<>(LOWEST_FIRST);
+        for (ActiveJob job : dispatcher.jobs()) {
+            if (job.waiting() <= 0) {
+                job.waitingSinceMicros = -1;
+                continue;
+            }
+            if (job.notBeforeMicros > now) {
+                continue;
+            }
+            dispatcher.claim(job);
+            if (job.waitingSinceMicros < 0) {
+                job.waitingSinceMicros = now;
+            }
+            if (job.hasClaimedTask()) {
+                queue.add(candidate(job, now));
+            }
+        }
+        return queue;
+    }
+
+    private void findRoom(Collection<Candidate> wanting, long now) {
+        long cpu = Long.MAX_VALUE;
+        long memory = Long.MAX_VALUE;
+        for (Candidate c : wanting) {
+            cpu = Math.min(cpu, c.job().spec.cpuMillis());
+            memory = Math.min(memory, c.job().spec.memoryMillis());
+        }
+        roomy.clear();
+        for (Machine m : machines) {
+            if (m.takesTasks() && m.hasFree(cpu, memory) && !m.quiet(now, config.reportMicros())) {
+                roomy.add(m);
+            }
+        }
+    }
+
+    private int waitingAlike(Collection<Candidate> queue, Needs needs) {
+        int waiting = 0;
+        for (Candidate c : queue) {
+            if (needs(c.job()).equals(needs)) {
+                waiting += c.job().waiting();
+            }
+        }
+        return waiting;
+    }
+
+    private Needs needs(ActiveJob job) {
+        JobSpec s = job.spec;
+        List<String> closed = s.spread() || s.oneZone()
+                ? config.zones().stream().filter(z -> !job.zoneAllows(z)).toList() : List.of();
+        return new Needs(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), closed, s.spot(),
+                s.rank());
+    }
+
+    private Candidate candidate(ActiveJob job, long now) {
+        return new Candidate(job, turn(job, now), fairShare.share(job.spec.rank(), job.spec.hasDeadline(),
+                job.spec.tasks(), job.left(), job.running()));
+    }
+
+    private Turn turn(ActiveJob job, long now) {
+        if (isLive(job)) {
+            return Turn.LIVE;
+        }
+        long age = dispatcher.ageMicros(job, now);
+        if (age > config.tuning().longestYieldMicros()) {
+            // Giving way has a bound: from here on the share alone decides, as in the paper.
+            return Turn.IN_TIME;
+        }
+        if (!job.spec.hasDeadline()) {
+            return Turn.ANY;
+        }
+        long finish = age + estimates.taskMicros(job);
+        Config.Objective objective = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
+        if (objective.deadlineTimes() == 0 && objective.finishMicros() > 0) {
+            // The class is judged by a time of its own; its owners' deadlines are wishes.
+            return finish <= objective.finishMicros() ? Turn.IN_TIME : Turn.ANY;
+        }
+        return finish <= job.spec.deadlineMicros() ? Turn.IN_TIME
+                : finish <= job.spec.deadlineMicros() * objective.deadlineTimes() ? Turn.NEARLY : Turn.ANY;
+    }
+
+    // ---- machines ----------------------------------------------------------------------------------------------
+
+    private Machine pick(ActiveJob job) {
+        Machine best = null;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        for (Machine m : roomy) {
+            if (m.hasRoom(job.spec) && m.allowedFor(job.spec) && m.takesTasks() && job.zoneAllows(m.zone)) {
+                double score = score(m, job.spec);
+                if (score > bestScore) {
+                    bestScore = score;
+                    best = m;
+                }
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Machines that have the image come first, then tight fits. Services gather on machines that already hold some,
+     * batch work on the others and on spot machines, so that emptied machines can be returned.
+     */
+    private static double score(Machine m, JobSpec spec) {
+        double score = m.hasImage(spec.image()) ? 20 : m.fetches(spec.image()) ? 10 : m.type.fetchGbPerSecond();
+        score -= 4.0 * (m.cpuFree() - spec.cpuMillis()) / m.type.cpuMillis();
+        score -= 5.0 * m.failures;
+        boolean mixed = m.hostsService();
+        return spec.service() ? score + (mixed ? 12 : 0) : score + (m.spot ? 6 : 0) - (mixed ? 6 : 0);
+    }
+
+    // ---- gangs -------------------------------------------------------------------------------------------------
+
+    /** Starts all that is left of a gang, or nothing. */
+    private boolean startWhole(ActiveJob job, long now) {
+        if (job.running() > 0 || job.claimed < job.spec.tasks()) {
+            return true; // not to be started now: its tasks are still on machines, or not claimed yet
+        }
+        List<Placement> placed = new ArrayList<>();
+        while (job.waiting() > 0) {
+            Machine m = dispatcher.teamAllows(job.spec) ? pick(job) : null;
+            if (m == null) {
+                placed.forEach(p -> dispatcher.free(p, "the gang does not fit"));
+                return false;
+            }
+            placed.add(dispatcher.start(job, m, now));
+        }
+        job.heldSinceMicros = -1;
+        return true;
+    }
+
+    /** Whether freed room is to be held for a gang that is lowest and does not fit; for a set time only. */
+    private boolean holdsRoom(ActiveJob job, long now) {
+        if (job.heldSinceMicros < 0) {
+            job.heldSinceMicros = now;
+        }
+        if (now - job.heldSinceMicros < config.tuning().gangHoldMicros()) {
+            return true;
+        }
+        LOG.debug("gang {} is passed over: it does not fit", job.spec.id());
+        job.heldSinceMicros = -1;
+        job.notBeforeMicros = now + config.tuning().gangHoldMicros();
+        return false;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/UserDesk.java
+++ b/src/main/java/org/granitepath/coordination/UserDesk.java
@@ -84,13 +84,15 @@
             return;
         }
         String key = Keys.JOB + spec.id();
-        ledger.want(key, 0, () -> {
+        ledger.want(key, Ledger.Urgency.WORK, 0, () -> {
             if (known(spec.id())) {
                 resolve(submitting, spec.id(), status(spec.id(), false));
                 return List.of();
             }
             return submitting.containsKey(spec.id())
-                    ? List.of(Change.write(key, new JobRecord(spec, timers.timeOfDayMicros()).toMap())) : List.of();
+                    ? List.of(Change.write(key, new JobRecord(spec, timers.timeOfDayMicros(),
+                            mirror.value(Keys.LEADER) == null ? 0 : config.tuning().firstBlock(spec)).toMap()))
+                    : List.of();
         }, epoch -> resolve(submitting, spec.id(), status(spec.id(), true)));
     }
 
@@ -148,7 +150,7 @@
             return;
         }
         String key = Keys.FINAL + id;
-        ledger.want(key, 0, () -> {
+        ledger.want(key, Ledger.Urgency.SAFETY, 0, () -> {
             if (book.finalOf(id) != null) {
                 resolve(cancelling, id, status(id, false));
                 return List.of();
