--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -45,6 +45,11 @@
     long notBeforeMicros;
     /** Since when freed room is held for this gang; negative when it is not. */
     long heldSinceMicros = -1;
+    /** When it last had a task on a machine, as far as this term knows; negative: never. */
+    long lastRunningMicros = -1;
+    Outlook.Turn turn = Outlook.Turn.ANY;
+    /** Whether it can wait for cheap room. */
+    boolean patient;
     /** Since when tasks wait without room; negative when none does. */
     long waitingSinceMicros = -1;
 
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -78,8 +78,8 @@
     private final Map<String, Long> refusedUntil = new HashMap<>();
     private final Map<String, Long> returned = new HashMap<>();
     private long bookings;
-    private double batchWork;
-    private double batchRoom;
+    /** CPUs for batch work on machines on their way, in the plan at hand. */
+    private double roomComing;
     private boolean renting;
     private boolean returning;
     private boolean listing;
@@ -221,38 +221,6 @@
                 && dispatcher.teamAllows(job.spec);
     }
 
-    /** Work without a deadline waits for room that is paid for anyway, as long as its class can bear it. */
-    private boolean buysAtFullPrice(ActiveJob job, long now) {
-        if (job.spec.service() || job.spec.gang() || job.spec.hasDeadline() || !job.spec.spot()) {
-            return true;
-        }
-        Config.Objective objective = config.objectives().get(job.spec.jobClass());
-        long bearable = objective == null || objective.waitMicros() == 0 ? 60_000_000 : objective.waitMicros();
-        double drainMicros = batchWork / Math.max(1, batchRoom);
-        return now - job.waitingSinceMicros + drainMicros > bearable * config.tuning().patienceShare();
-    }
-
-    /** The batch work at hand, and the room for it on the machines at hand and on their way. */
-    private void surveyBatch() {
-        batchWork = 0;
-        batchRoom = 0;
-        for (ActiveJob j : dispatcher.jobs()) {
-            if (!j.spec.service()) {
-                // Tasks under way are half over, on the average.
-                batchWork += (j.left() - 0.5 * j.running()) * j.spec.cpuMillis()
-                        * dispatcher.estimates().taskMicros(j);
-            } else {
-                batchRoom -= (double) j.running() * j.spec.cpuMillis();
-            }
-        }
-        for (Machine m : dispatcher.machines()) {
-            batchRoom += m.type == null ? 0 : m.type.cpuMillis();
-        }
-        for (Booting b : booting.values()) {
-            batchRoom += b.type().cpuMillis();
-        }
-    }
-
     private void rent(long now) {
         if (renting) {
             return;
@@ -274,7 +242,11 @@
             }
         }
         waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
-        surveyBatch();
+        dispatcher.outlook().look(now);
+        roomComing = 0;
+        for (Bin bin : bins) {
+            roomComing += bin.type.cpuMillis();
+        }
         Map<String, Integer> counts = new LinkedHashMap<>();
         Map<String, Offer> offers = new HashMap<>();
         for (ActiveJob job : waiting) {
@@ -305,7 +277,7 @@
             }
         }
         while (left > 0) {
-            Offer offer = cheapest(job, buysAtFullPrice(job, now), left, zoneCounts, counts, now);
+            Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left, zoneCounts, counts, now);
             if (offer == null) {
                 return;
             }
@@ -319,7 +291,7 @@
                 return;
             }
             bins.add(bin);
-            batchRoom += job.spec.service() ? 0 : bin.type.cpuMillis();
+            roomComing += job.spec.service() ? 0 : bin.type.cpuMillis();
             offers.putIfAbsent(offer.key(), offer);
             counts.merge(offer.key(), 1, Integer::sum);
         }
@@ -377,7 +349,7 @@
                 + "in {} s)", count, offer.type().name(),
                 offer.zone(), offer.spot() ? " (spot)" : "", booking, offer.job().spec.id(),
                 offer.job().spec.jobClass(), offer.job().waiting(),
-                Math.round(batchWork / Math.max(1, batchRoom) / 1e6));
+                Math.round(dispatcher.outlook().drainMicros(roomComing) / 1e6));
         send(new CloudPort.Rental(booking, offer.type().name(), offer.zone(), offer.spot(), count), offer, 0);
     }
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -55,6 +55,7 @@
     private final Timers timers;
     private final WorkerPort workers;
     private final Ledger ledger;
+    private final Outlook outlook;
     private final Scheduler scheduler;
     private final Consolidator consolidator;
     private final Rosters rosters;
@@ -94,7 +95,8 @@
         this.timers = timers;
         this.workers = workers;
         this.teamLimits = new TeamLimits(config.teams());
-        this.scheduler = new Scheduler(config, this, machines.values(), timers, estimates);
+        this.outlook = new Outlook(config, this, estimates);
+        this.scheduler = new Scheduler(config, this, machines.values(), timers, outlook);
         this.consolidator = new Consolidator(this, machines.values());
         this.startedMicros = timers.nowMicros();
         this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.65,
@@ -736,8 +738,12 @@
 
     /** Whether a job may use this machine now, room aside. */
     boolean eligible(Machine m, ActiveJob job, long now) {
-        return m.takesTasks() && m.allowedFor(job.spec) && job.zoneAllows(m.zone)
-                && !m.quiet(now, config.reportMicros());
+        return m.takesTasks() && suits(m, job) && !m.quiet(now, config.reportMicros());
+    }
+
+    /** Work that can wait leaves full-price machines alone that no service needs, so that they can be returned. */
+    boolean suits(Machine m, ActiveJob job) {
+        return m.allowedFor(job.spec) && job.zoneAllows(m.zone) && (!job.patient || m.spot || m.hostsService());
     }
 
     boolean teamAllows(JobSpec spec) {
@@ -753,6 +759,10 @@
         return estimates;
     }
 
+    Outlook outlook() {
+        return outlook;
+    }
+
     /** A spot machine is about to be taken: work that can be saved or won't finish moves. */
     private void evacuate(Machine m, long noticeMicros) {
         long now = timers.nowMicros();
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -61,6 +61,7 @@
     private long gpuUsed;
     private long memoryUsed;
     private int services;
+    private long servicesCpu;
 
     Machine(String id, String address, String typeName, String zone, boolean spot) {
         this.id = id;
@@ -92,7 +93,7 @@
         cpuUsed += s.cpuMillis();
         gpuUsed += s.gpuMillis();
         memoryUsed += s.memoryMillis();
-        services += s.service() ? 1 : 0;
+        countService(s, 1);
     }
 
     /** A task that needs this image runs here, so the machine has it. */
@@ -124,13 +125,24 @@
             cpuUsed -= s.cpuMillis();
             gpuUsed -= s.gpuMillis();
             memoryUsed -= s.memoryMillis();
-            services -= s.service() ? 1 : 0;
+            countService(s, -1);
             if (placements.isEmpty()) {
                 idleSinceMicros = nowMicros;
             }
         }
     }
 
+    private void countService(JobSpec s, int sign) {
+        if (s.service()) {
+            services += sign;
+            servicesCpu += sign * s.cpuMillis();
+        }
+    }
+
+    long cpuUsedByServices() {
+        return servicesCpu;
+    }
+
     boolean hasImage(String image) {
         return images.contains(image);
     }
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Outlook.java
@@ -0,0 +1,173 @@
+package org.granitepath.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.granitepath.bookkeeping.Rank;
+
+/**
+ * What waiting batch work can expect of the room at hand: which jobs can still make their deadlines, all together, and
+ * which can wait for cheap room. Looked at a few times a second for all jobs as a class, not at each decision.
+ */
+final class Outlook {
+    private static final long EVERY_MICROS = 250_000;
+    /** What packing leaves unused, and what running tasks hold of a machine that is to be emptied. */
+    private static final double USABLE = 0.9;
+
+    /**
+     * Live services come first. Of the rest, jobs that can make their deadlines all together go before those that can
+     * make the longest multiple that the aims name, and these before what is late all the same or has no deadline.
+     */
+    enum Turn { LIVE, IN_TIME, NEARLY, ANY }
+
+    private record Due(ActiveJob job, double work, double micros) {}
+
+    private final Config config;
+    private final Dispatcher dispatcher;
+    private final Estimates estimates;
+    private long dueMicros;
+    private double batchWork;
+    /** Of it, that with a deadline: it goes before the rest. */
+    private double urgentWork;
+    private double room;
+    /** Of it, that on spot machines and beside services, which is paid for anyway. */
+    private double cheapRoom;
+
+    Outlook(Config config, Dispatcher dispatcher, Estimates estimates) {
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.estimates = estimates;
+    }
+
+    void look(long now) {
+        if (now < dueMicros) {
+            return;
+        }
+        dueMicros = now + EVERY_MICROS;
+        survey();
+        List<Due> inTime = new ArrayList<>();
+        List<Due> later = new ArrayList<>();
+        for (ActiveJob j : dispatcher.jobs()) {
+            if (j.running() > 0) {
+                j.lastRunningMicros = now;
+            }
+            j.turn = Turn.ANY;
+            if (isLive(j)) {
+                j.turn = Turn.LIVE;
+            } else if (stalled(j, now)) {
+                j.turn = Turn.IN_TIME;
+            } else if (j.spec.hasDeadline() || finishAim(j) > 0) {
+                long left = (finishAim(j) > 0 ? finishAim(j) : j.spec.deadlineMicros())
+                        - dispatcher.ageMicros(j, now);
+                (estimates.taskMicros(j) <= left ? inTime : later).add(new Due(j, work(j), left));
+            }
+        }
+        double taken = settle(inTime, later, Turn.IN_TIME, 0);
+        List<Due> extended = new ArrayList<>();
+        for (Due d : later) {
+            double times = config.objectives().getOrDefault(d.job().spec.jobClass(), Config.Objective.NONE)
+                    .deadlineTimes();
+            double left = d.micros() + (times - 1) * d.job().spec.deadlineMicros();
+            if (times > 1 && estimates.taskMicros(d.job()) <= left) {
+                extended.add(new Due(d.job(), d.work(), left));
+            }
+        }
+        settle(extended, new ArrayList<>(), Turn.NEARLY, taken);
+    }
+
+    /**
+     * The largest number of jobs that can all be in time: by deadline, and whenever the work so far is too much, the
+     * largest of it is left out (Moore's rule). Returns the work taken on.
+     */
+    private double settle(List<Due> jobs, List<Due> leftOut, Turn turn, double before) {
+        jobs.sort(Comparator.comparingDouble(Due::micros));
+        PriorityQueue<Due> taken = new PriorityQueue<>(Comparator.comparingDouble(Due::work).reversed());
+        double sum = before;
+        for (Due d : jobs) {
+            taken.add(d);
+            sum += d.work();
+            // The last wave of tasks does not fill the room to its end.
+            double usable = room * USABLE * (d.micros() - estimates.taskMicros(d.job()) / 2.0);
+            while (sum > usable && !taken.isEmpty() && room > 0) {
+                Due largest = taken.poll();
+                sum -= largest.work();
+                leftOut.add(largest);
+            }
+        }
+        for (Due d : taken) {
+            d.job().turn = turn;
+        }
+        return sum;
+    }
+
+    static boolean isLive(ActiveJob job) {
+        return job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
+    }
+
+    /** Giving way has a bound: a job that has long had nothing on a machine competes by its share alone again. */
+    private boolean stalled(ActiveJob job, long now) {
+        long since = job.lastRunningMicros < 0 ? dispatcher.ageMicros(job, now) : now - job.lastRunningMicros;
+        return since > config.tuning().longestYieldMicros();
+    }
+
+    /** Some classes are judged by a time of their own; their owners' deadlines are wishes. */
+    private long finishAim(ActiveJob job) {
+        Config.Objective o = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
+        return o.deadlineTimes() == 0 && job.spec.hasDeadline() ? o.finishMicros() : 0;
+    }
+
+    /** CPU time that the job still needs; tasks under way are half over, on the average. */
+    private double work(ActiveJob j) {
+        return (j.left() - 0.5 * j.running()) * j.spec.cpuMillis() * estimates.taskMicros(j);
+    }
+
+    private void survey() {
+        batchWork = 0;
+        urgentWork = 0;
+        for (ActiveJob j : dispatcher.jobs()) {
+            if (!j.spec.service()) {
+                double work = work(j);
+                batchWork += work;
+                urgentWork += j.spec.hasDeadline() ? work : 0;
+            }
+        }
+        room = 0;
+        cheapRoom = 0;
+        for (Machine m : dispatcher.machines()) {
+            if (m.type != null && m.phase != Machine.Phase.RETURNING) {
+                long forBatch = m.type.cpuMillis() - m.cpuUsedByServices();
+                room += forBatch;
+                cheapRoom += m.spot || m.hostsService() ? forBatch : 0;
+            }
+        }
+    }
+
+    /** How long the batch work at hand takes, with so much more room. */
+    double drainMicros(double moreRoom) {
+        return batchWork / Math.max(1, room + moreRoom);
+    }
+
+    /**
+     * Whether the job can wait for room that is cheap or paid for anyway: until its deadline is at stake, until the
+     * time by which its tasks are expected to start, or, where nothing is expected, until it is stalled.
+     *
+     * @param moreRoom CPUs that are on their way
+     */
+    boolean patient(ActiveJob job, double moreRoom, long now) {
+        if (job.spec.service() || job.spec.gang() || !job.spec.spot()) {
+            return false;
+        }
+        if (job.spec.hasDeadline() && finishAim(job) == 0) {
+            double wait = urgentWork / Math.max(1, cheapRoom + moreRoom);
+            return dispatcher.ageMicros(job, now) + wait + estimates.taskMicros(job) <= job.spec.deadlineMicros();
+        }
+        long aim = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE).waitMicros();
+        if (aim == 0) {
+            return !stalled(job, now);
+        }
+        long waited = job.waitingSinceMicros < 0 ? 0 : now - job.waitingSinceMicros;
+        return waited + batchWork / Math.max(1, cheapRoom + moreRoom) <= aim * config.tuning().patienceShare();
+    }
+}
--- a/src/main/java/org/granitepath/coordination/RoomMaker.java
+++ b/src/main/java/org/granitepath/coordination/RoomMaker.java
@@ -36,7 +36,7 @@
      * @param withImageOnly only on machines that already have the job's image
      */
     int makeRoom(ActiveJob job, int wanted, boolean withImageOnly, long now) {
-        boolean live = Scheduler.isLive(job);
+        boolean live = Outlook.isLive(job);
         if (!live && !job.spec.hasDeadline()) {
             return 0;
         }
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -16,13 +16,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
     private static final long ROOM_PATIENCE_MICROS = 1_500_000;
 
-    /**
-     * Live services come first. Of the rest, a job that can still meet its deadline goes before one for which that is
-     * past hope, so that room is not spent on what is late all the same; among equals the lowest share decides.
-     */
-    private enum Turn { LIVE, IN_TIME, NEARLY, ANY }
-
-    private record Candidate(ActiveJob job, Turn turn, double share) {}
+    private record Candidate(ActiveJob job, Outlook.Turn turn, double share) {}
 
     private static final Comparator<Candidate> LOWEST_FIRST = Comparator
             .comparing(Candidate::turn)
@@ -32,9 +26,9 @@
 
     /** What a task needs. When one finds no room, none that needs as much or more at the same places does either. */
     private record Needs(long cpu, long gpu, long memory, List<String> types, String zone, List<String> closedZones,
-                         boolean spot, Rank rank) {
+                         boolean spot, boolean patient, Rank rank) {
         boolean atMost(Needs other) {
-            return cpu <= other.cpu && gpu <= other.gpu && memory <= other.memory && spot == other.spot
+            return cpu <= other.cpu && gpu <= other.gpu && memory <= other.memory && spot == other.spot && patient == other.patient
                     && rank == other.rank && java.util.Objects.equals(types, other.types)
                     && java.util.Objects.equals(zone, other.zone) && closedZones.equals(other.closedZones);
         }
@@ -45,28 +39,25 @@
     private final Collection<Machine> machines;
     private final Timers timers;
     private final FairShare fairShare;
-    private final Estimates estimates;
+    private final Outlook outlook;
     private final RoomMaker roomMaker;
     /** Machines that take tasks and have some room, in this pass. */
     private final List<Machine> roomy = new ArrayList<>();
 
-    Scheduler(Config config, Dispatcher dispatcher, Collection<Machine> machines, Timers timers, Estimates estimates) {
+    Scheduler(Config config, Dispatcher dispatcher, Collection<Machine> machines, Timers timers, Outlook outlook) {
         this.config = config;
         this.dispatcher = dispatcher;
         this.machines = machines;
         this.timers = timers;
-        this.estimates = estimates;
+        this.outlook = outlook;
         this.fairShare = new FairShare(config.tuning());
         this.roomMaker = new RoomMaker(dispatcher, machines);
     }
 
-    static boolean isLive(ActiveJob job) {
-        return job.spec.service() && job.spec.rank().ordinal() <= Rank.HIGH.ordinal();
-    }
-
     /** One pass, until nothing more fits. */
     void pass() {
         long now = timers.nowMicros();
+        outlook.look(now);
         PriorityQueue<Candidate> queue = candidates(now);
         if (queue.isEmpty()) {
             return;
@@ -92,14 +83,14 @@
                 continue;
             }
             // A moment's patience gets a live replica onto a machine that already has its image.
-            if (isLive(job) && !m.hasImage(job.spec.image()) && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS
+            if (Outlook.isLive(job) && !m.hasImage(job.spec.image()) && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS
                     && roomMaker.makeRoom(job, 1, true, now) > 0) {
                 continue;
             }
             dispatcher.start(job, m, now);
             dispatcher.claim(job);
             if (job.waiting() > 0 && job.hasClaimedTask()) {
-                queue.add(candidate(job, now));
+                queue.add(candidate(job));
             }
         }
     }
@@ -119,7 +110,8 @@
                 job.waitingSinceMicros = now;
             }
             if (job.hasClaimedTask()) {
-                queue.add(candidate(job, now));
+                job.patient = outlook.patient(job, 0, now);
+                queue.add(candidate(job));
             }
         }
         return queue;
@@ -155,43 +147,21 @@
         List<String> closed = s.spread() || s.oneZone()
                 ? config.zones().stream().filter(z -> !job.zoneAllows(z)).toList() : List.of();
         return new Needs(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), closed, s.spot(),
-                s.rank());
+                job.patient, s.rank());
     }
 
-    private Candidate candidate(ActiveJob job, long now) {
-        return new Candidate(job, turn(job, now), fairShare.share(job.spec.rank(), job.spec.hasDeadline(),
+    private Candidate candidate(ActiveJob job) {
+        return new Candidate(job, Outlook.isLive(job) ? Outlook.Turn.LIVE : job.turn, fairShare.share(job.spec.rank(), job.spec.hasDeadline(),
                 job.spec.tasks(), job.left(), job.running()));
     }
 
-    private Turn turn(ActiveJob job, long now) {
-        if (isLive(job)) {
-            return Turn.LIVE;
-        }
-        long age = dispatcher.ageMicros(job, now);
-        if (age > config.tuning().longestYieldMicros()) {
-            // Giving way has a bound: from here on the share alone decides, as in the paper.
-            return Turn.IN_TIME;
-        }
-        if (!job.spec.hasDeadline()) {
-            return Turn.ANY;
-        }
-        long finish = age + estimates.taskMicros(job);
-        Config.Objective objective = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
-        if (objective.deadlineTimes() == 0 && objective.finishMicros() > 0) {
-            // The class is judged by a time of its own; its owners' deadlines are wishes.
-            return finish <= objective.finishMicros() ? Turn.IN_TIME : Turn.ANY;
-        }
-        return finish <= job.spec.deadlineMicros() ? Turn.IN_TIME
-                : finish <= job.spec.deadlineMicros() * objective.deadlineTimes() ? Turn.NEARLY : Turn.ANY;
-    }
-
     // ---- machines ----------------------------------------------------------------------------------------------
 
     private Machine pick(ActiveJob job) {
         Machine best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (Machine m : roomy) {
-            if (m.hasRoom(job.spec) && m.allowedFor(job.spec) && m.takesTasks() && job.zoneAllows(m.zone)) {
+            if (m.hasRoom(job.spec) && m.takesTasks() && dispatcher.suits(m, job)) {
                 double score = score(m, job.spec);
                 if (score > bestScore) {
                     bestScore = score;
