--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -71,6 +71,7 @@
     private final Config config;
     private final Dispatcher dispatcher;
     private final Leadership leadership;
+    private final Peers peers;
     private final CloudPort cloud;
     private final Timers timers;
     private final long baton;
@@ -89,11 +90,12 @@
     private double tokens = 1;
     private long tokensAtMicros;
 
-    Autoscaler(Config config, Dispatcher dispatcher, Leadership leadership, CloudPort cloud, Timers timers,
-               long baton) {
+    Autoscaler(Config config, Dispatcher dispatcher, Leadership leadership, Peers peers, CloudPort cloud,
+               Timers timers, long baton) {
         this.config = config;
         this.dispatcher = dispatcher;
         this.leadership = leadership;
+        this.peers = peers;
         this.cloud = cloud;
         this.timers = timers;
         this.baton = baton;
@@ -409,8 +411,10 @@
                 silent++;
             }
         }
-        // Many silent at once: more likely we are the ones cut off.
-        boolean trustSilence = silent <= Math.max(2, dispatcher.machines().size() / 5);
+        // Many silent at once: perhaps we are the ones cut off. Peers that don't hear them either tell us that we are not.
+        int elsewhere = peers.mostTurnedAway();
+        boolean trustSilence = silent <= Math.max(2, dispatcher.machines().size() / 5)
+                || silent <= dispatcher.machines().size() / 2 && elsewhere >= 0 && elsewhere < silent / 4;
         for (Machine m : List.copyOf(dispatcher.machines())) {
             if (ids.size() >= RETURN_AT_ONCE) {
                 break;
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -19,6 +19,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final long TICK_MICROS = 1_000_000;
     private static final long CUT_OFF_MICROS = 2_500_000;
+    private static final long TURNED_AWAY_MICROS = 5_000_000;
     private static final long TYPES_MICROS = 60_000_000;
     /** Share of the state service's requests that all controllers together may spend on reading the latest changes. */
     private static final double READ_SHARE = 0.6;
@@ -35,6 +36,8 @@
     private final Peers peers;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private Dispatcher dispatcher;
+    /** Machines that reported here while another controller owned them, and when. */
+    private final Map<String, Long> turnedAway = new LinkedHashMap<>();
     private boolean askingTypes;
     private long typesDueMicros;
 
@@ -96,7 +99,8 @@
     }
 
     private PeerPort.Greeting greeting() {
-        return new PeerPort.Greeting(config.node(), mirror.loaded() ? contactAgeMicros() : -1, dispatcher != null);
+        return new PeerPort.Greeting(config.node(), mirror.loaded() ? contactAgeMicros() : -1, dispatcher != null,
+                turnedAway.size());
     }
 
     /** A peer tells how it is, and is told the same. */
@@ -123,6 +127,7 @@
 
     public BeatAnswer beat(Beat beat) {
         if (dispatcher == null) {
+            turnedAway.put(beat.host(), timers.nowMicros());
             String owner = leadership.ownerNode();
             return owner != null && !owner.equals(config.node()) ? new BeatAnswer.Elsewhere(owner)
                     : new BeatAnswer.Unavailable();
@@ -136,6 +141,10 @@
             mirror.barrier(fresh -> { });
         }
         long now = timers.nowMicros();
+        turnedAway.values().removeIf(at -> at < now - TURNED_AWAY_MICROS);
+        if (dispatcher != null && dispatcher.cutFromWorkers(peers.mostTurnedAway())) {
+            leadership.abdicate("the machines reach the others, but not us");
+        }
         if ((types.isEmpty() || dispatcher != null && now >= typesDueMicros) && !askingTypes) {
             askTypes();
         }
@@ -202,7 +211,7 @@
             dispatcher.typesChanged(List.copyOf(types.values()));
             dispatcher.recordTypes(List.copyOf(types.values()));
         }
-        new Autoscaler(config, dispatcher, leadership, cloud, timers, term.baton());
+        new Autoscaler(config, dispatcher, leadership, peers, cloud, timers, term.baton());
     }
 
     private void leaveOffice() {
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -43,6 +43,7 @@
     private static final int CALLS_AT_ONCE = 48;
     private static final long NEWS_MICROS = 1_000_000;
     private static final int DEPARTED_REMEMBERED = 4096;
+    private static final double MOST_SILENT_SHARE = 0.6;
     private static final int UNCLEARED_ATTEMPTS = 24;
     private static final int FAILURES_OF_A_FAULTY_MACHINE = 3;
     private static final long LONGEST_BACKOFF_MICROS = 60_000_000;
@@ -266,6 +267,20 @@
         departed.put(id, Long.MAX_VALUE);
     }
 
+    /**
+     * Whether most machines have fallen silent to us while a peer hears them: then it had better own them, before
+     * their leases run out.
+     */
+    boolean cutFromWorkers(int turnedAwayByPeer) {
+        long now = timers.nowMicros();
+        int silent = 0;
+        for (Machine m : machines.values()) {
+            silent += m.quiet(now, config.reportMicros()) ? 1 : 0;
+        }
+        return silent >= MOST_SILENT_SHARE * machines.size() && turnedAwayByPeer >= Math.max(2, silent / 2)
+                && now - startedMicros > config.leaseMicros();
+    }
+
     void drain(Machine m, String why) {
         if (m.phase == Machine.Phase.READY) {
             m.transition(Machine.Phase.DRAINING, why);
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -25,6 +25,7 @@
 final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     private static final long CHECK_MICROS = 250_000;
+    private static final long QUIET_AFTER_ABDICATION_MICROS = 15_000_000;
 
     /**
      * {@code HOLDING}: lately no word from the state service; workers are still answered, since an outage looks the
@@ -254,6 +255,18 @@
         });
     }
 
+    /** Hands the machines over: another can do better. */
+    void abdicate(String why) {
+        if (term == null) {
+            return;
+        }
+        // Should this be lost, the lease runs out by itself.
+        state.commit(new Txn(List.of(new Guard(Keys.LEADER, term.leaderStamp())),
+                List.of(Change.remove(Keys.LEADER))), answer -> { });
+        quietUntilMicros = timers.nowMicros() + QUIET_AFTER_ABDICATION_MICROS;
+        depose(why);
+    }
+
     private void depose(String why) {
         if (term != null) {
             term = null;
--- a/src/main/java/org/granitepath/coordination/Ledger.java
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -26,6 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
     private static final long RETRY_MICROS = 300_000;
     private static final int TXN_BYTES = 48 * 1024;
+    private static final double KEPT_FROM_NEWS = 0.3;
 
     /** What goes first when the budget is short: what keeps work safe, what lets work start, what merely tells of it. */
     public enum Urgency { SAFETY, WORK, NEWS }
@@ -96,7 +97,7 @@
         List<Change> changes = new ArrayList<>();
         gather(now, changes, sent);
         if (changes.isEmpty()) {
-            pump();
+            wake(RETRY_MICROS); // all withdrawn, or only news, for which the budget is too short now
             return;
         }
         List<Guard> guards = new ArrayList<>(fence.get());
@@ -131,9 +132,11 @@
         int bytes = 0;
         List<String> withdrawn = new ArrayList<>();
         for (Urgency urgency : Urgency.values()) {
+            // News leave part of the budget free, so that what is urgent need not wait for it.
+            int room = urgency == Urgency.NEWS ? Math.min(most, (int) (tokens - writesPerSecond * KEPT_FROM_NEWS)) : most;
             for (var named : wanted.entrySet()) {
                 Entry e = named.getValue();
-                if (changes.size() >= most) {
+                if (changes.size() >= room) {
                     break;
                 }
                 if (e.urgency() != urgency || e.dueMicros() > now && changes.size() * 2 >= txnOps) {
--- a/src/main/java/org/granitepath/coordination/PeerPort.java
+++ b/src/main/java/org/granitepath/coordination/PeerPort.java
@@ -6,8 +6,9 @@
 public interface PeerPort {
     /**
      * @param contactAgeMicros how long ago the state service last brought this controller up to date; negative: never
+     * @param turnedAway how many machines lately reported to this controller although it does not own them
      */
-    record Greeting(String node, long contactAgeMicros, boolean owner) {}
+    record Greeting(String node, long contactAgeMicros, boolean owner, int turnedAway) {}
 
     /** Tells a peer how we are; answered with how it is, or null. */
     void greet(String peer, Greeting ours, Consumer<Greeting> then);
--- a/src/main/java/org/granitepath/coordination/Peers.java
+++ b/src/main/java/org/granitepath/coordination/Peers.java
@@ -47,6 +47,13 @@
         heard.put(greeting.node(), new Heard(greeting, timers.nowMicros()));
     }
 
+    /** The most machines that one peer lately turned away; negative when no peer has been heard. */
+    int mostTurnedAway() {
+        long now = timers.nowMicros();
+        return heard.values().stream().filter(h -> now - h.atMicros() < FRESH_MICROS)
+                .mapToInt(h -> h.greeting().turnedAway()).max().orElse(-1);
+    }
+
     /** Whether a peer lately had word from the state service, at most {@code ageMicros} old when it told us. */
     boolean anyInTouch(long ageMicros) {
         long now = timers.nowMicros();
--- a/src/main/java/org/granitepath/protocol/PeerCodec.java
+++ b/src/main/java/org/granitepath/protocol/PeerCodec.java
@@ -9,15 +9,15 @@
 
 /** Messages between controllers, in MessagePack: an array that begins with the version of its layout. */
 public final class PeerCodec {
-    private static final int VERSION = 1;
-    private static final int FIELDS = 4;
+    private static final int VERSION = 2;
+    private static final int FIELDS = 5;
 
     private PeerCodec() {}
 
     public static byte[] encode(Greeting g) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(FIELDS).packInt(VERSION).packString(g.node()).packLong(g.contactAgeMicros())
-                    .packBoolean(g.owner());
+                    .packBoolean(g.owner()).packInt(g.turnedAway());
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("packing in memory failed", e);
@@ -30,7 +30,8 @@
             if (unpacker.unpackArrayHeader() < FIELDS || unpacker.unpackInt() != VERSION) {
                 return null;
             }
-            return new Greeting(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+            return new Greeting(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean(),
+                    unpacker.unpackInt());
         } catch (IOException | MessagePackException e) {
             return null;
         }
--- a/src/test/java/org/granitepath/protocol/CodecTest.java
+++ b/src/test/java/org/granitepath/protocol/CodecTest.java
@@ -68,7 +68,7 @@
 
     @Test
     void greetingsPassBetweenControllers() {
-        PeerPort.Greeting g = new PeerPort.Greeting("worker-1", 1234, true);
+        PeerPort.Greeting g = new PeerPort.Greeting("worker-1", 1234, true, 17);
         assertEquals(g, PeerCodec.decode(PeerCodec.encode(g)));
         assertNull(PeerCodec.decode(new byte[] {1, 2, 3}));
     }
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/LedgerTest.java
@@ -0,0 +1,69 @@
+package org.granitepath.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.bookkeeping.Mirror;
+import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.Timers;
+import org.granitepath.coordination.Ledger;
+import org.granitepath.coordination.Ledger.Urgency;
+import org.junit.jupiter.api.Test;
+
+/** Hundreds of wishes on a small budget. */
+class LedgerTest {
+    private final World world = new World(1);
+    private final SimState state = new SimState(world, 8, 2048);
+    private final Timers timers = new Timers() {
+        @Override
+        public long nowMicros() {
+            return world.now();
+        }
+
+        @Override
+        public long timeOfDayMicros() {
+            return world.now();
+        }
+
+        @Override
+        public void after(long delayMicros, Runnable action) {
+            world.after(delayMicros, action);
+        }
+    };
+
+    @Test
+    void urgentWishesOvertakeAndWaitingOnesCostNothing() {
+        Mirror mirror = new Mirror(state.portFor("n"), timers, 50_000, new Mirror.Listener() {
+            @Override
+            public void changed(String key, Map<String, Object> value, long stamp) {
+            }
+
+            @Override
+            public void loaded() {
+            }
+        });
+        mirror.start();
+        world.run(1_000_000, () -> { });
+        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 10, List::of, () -> true);
+        List<String> written = new ArrayList<>();
+        int[] made = new int[1];
+        for (int i = 0; i < 300; i++) {
+            String key = "g/n/" + i;
+            ledger.want(key, Urgency.NEWS, 0, () -> {
+                made[0]++;
+                return List.of(Change.write(key, Map.of("x", 1)));
+            }, epoch -> written.add(key));
+        }
+        world.run(3_000_000, () -> { });
+        ledger.want("g/safe", Urgency.SAFETY, 0, () -> List.of(Change.write("g/safe", Map.of("x", 1))),
+                epoch -> written.add("g/safe"));
+        world.run(3_300_000, () -> { });
+        assertTrue(written.contains("g/safe"), "an urgent wish waits behind news");
+        world.run(61_000_000, () -> { });
+        assertEquals(301, written.size());
+        assertTrue(made[0] <= 310, "contents were made " + made[0] + " times");
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -1,8 +1,10 @@
 package org.granitepath.simulation;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,6 +17,9 @@
 
 /** The users' rules, checked from what happens on machines and what users are told. */
 final class Rules {
+    private static final long UNANSWERED_MICROS = 75_000_000;
+    private static final long BEGIN_MICROS = 240_000_000;
+
     private record Where(String host, String zone) {}
 
     private final World world;
@@ -28,6 +33,9 @@
     private final Map<String, Long> cancelTold = new TreeMap<>();
     private final Map<TaskId, Where> on = new HashMap<>();
     private final Map<String, Set<Integer>> completed = new HashMap<>();
+    private final Map<String, Long> submittedAt = new LinkedHashMap<>();
+    private final Map<String, Long> answeredAt = new HashMap<>();
+    private final Map<String, Long> begunAt = new HashMap<>();
     int starts;
 
     Rules(World world, Map<String, Config.Team> teams, long cancelMicros) {
@@ -44,6 +52,7 @@
 
     void started(TaskId task, String host, String type, String zone, boolean spot) {
         starts++;
+        begunAt.putIfAbsent(task.job(), world.now());
         JobSpec spec = submitted.get(task.job());
         Where other = on.get(task);
         if (other != null) {
@@ -106,10 +115,58 @@
         cancelTold.values().removeIf(told -> world.now() > told + cancelMicros + 120_000_000);
     }
 
+    // ---- at the end of a day ---------------------------------------------------------------------------------
+
+    /** Once troubles are over, no accepted job that was not cancelled may go without any answer for so long. */
+    void checkKnown(long troublesOver) {
+        for (String job : accepted) {
+            long since = world.now() - Math.max(troublesOver, answeredAt.getOrDefault(job, 0L));
+            if (!cancelAsked.contains(job) && since > UNANSWERED_MICROS) {
+                breach("forgotten", job + ": no question answered for " + since / 1_000_000 + " s");
+            }
+        }
+    }
+
+    /**
+     * At least half of each class, of each team and of a class's largest jobs is served, and the largest begin in time.
+     * A service is served when its tasks have run; other work when it is done.
+     */
+    void checkServed() {
+        Map<String, List<JobSpec>> groups = new TreeMap<>();
+        for (String id : submittedAt.keySet()) {
+            JobSpec s = submitted.get(id);
+            if (accepted.contains(id) && !cancelAsked.contains(id) || s.service() && begunAt.containsKey(id)) {
+                groups.computeIfAbsent("class " + s.jobClass(), k -> new ArrayList<>()).add(s);
+                groups.computeIfAbsent("team " + s.team(), k -> new ArrayList<>()).add(s);
+            }
+        }
+        for (String name : List.copyOf(groups.keySet())) {
+            if (name.startsWith("class ")) {
+                List<JobSpec> largest = new ArrayList<>(groups.get(name));
+                largest.sort(Comparator.comparingInt(JobSpec::tasks).reversed());
+                groups.put("largest of " + name, largest.subList(0, (largest.size() + 3) / 4));
+            }
+        }
+        groups.forEach((name, list) -> {
+            long served = list.stream().filter(s -> s.service() ? begunAt.containsKey(s.id())
+                    : completed.getOrDefault(s.id(), Set.of()).size() == s.tasks()).count();
+            if (served * 2 < list.size()) {
+                breach("unserved", name + ": " + served + " of " + list.size());
+            }
+            for (JobSpec s : name.startsWith("largest") ? list : List.<JobSpec>of()) {
+                long waited = begunAt.getOrDefault(s.id(), world.now()) - submittedAt.get(s.id());
+                if (waited > BEGIN_MICROS) {
+                    breach("unserved", name + ": " + s.id() + " begins after " + waited / 1_000_000 + " s");
+                }
+            }
+        });
+    }
+
     // ---- users -------------------------------------------------------------------------------------------------
 
     void submitting(JobSpec spec) {
         submitted.putIfAbsent(spec.id(), spec);
+        submittedAt.putIfAbsent(spec.id(), world.now());
     }
 
     void cancelling(String job) {
@@ -135,6 +192,7 @@
                 breach("invented", job);
             }
             accepted.add(job);
+            answeredAt.put(job, world.now());
             JobState earlier = toldFinal.get(job);
             if (earlier != null && earlier != s.state()) {
                 breach("went_back", job + " was " + earlier + ", is " + s.state());
--- a/src/test/java/org/granitepath/simulation/RulesTest.java
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -103,6 +103,62 @@
         assertBroken("ran_cancelled");
     }
 
+    @Test
+    void noAnswerForLong() {
+        rules.told("run-1", status("run-1", JobState.PENDING));
+        rules.told("run-2", status("run-2", JobState.PENDING));
+        world.run(70_000_000, () -> { });
+        rules.told("run-2", status("run-2", JobState.PENDING));
+        rules.checkKnown(0);
+        assertTrue(rules.broken.isEmpty());
+        world.run(76_000_000, () -> { });
+        rules.checkKnown(5_000_000);
+        assertTrue(rules.broken.isEmpty(), "troubles were over only 71 s ago");
+        rules.checkKnown(0);
+        assertBroken("forgotten");
+    }
+
+    @Test
+    void jobsNotServed() {
+        rules.told("run-1", status("run-1", JobState.PENDING));
+        rules.told("run-2", status("run-2", JobState.PENDING));
+        rules.told("run-3", status("run-3", JobState.PENDING));
+        for (String job : new String[] {"run-1", "run-2"}) {
+            start(job, 0, "a", "y");
+            start(job, 1, "b", "z");
+            rules.completed(new TaskId(job, 0));
+            rules.completed(new TaskId(job, 1));
+            rules.left(new TaskId(job, 0), "a");
+            rules.left(new TaskId(job, 1), "b");
+        }
+        rules.checkServed();
+        assertTrue(rules.broken.isEmpty(), rules.broken.toString());
+        world.run(241_000_000, () -> { });
+        rules.submitting(spec("run-0", false, false));
+        rules.submitting(wide("run-4"));
+        rules.told("run-4", status("run-4", JobState.PENDING));
+        rules.checkServed();
+        assertBroken("unserved at 241.0 s: largest of class c: 0 of 1");
+    }
+
+    @Test
+    void largestBeginsLate() {
+        rules.submitting(wide("run-4"));
+        rules.told("run-4", status("run-4", JobState.PENDING));
+        world.run(241_000_000, () -> { });
+        for (int i = 0; i < 3; i++) {
+            start("run-4", i, "a", "z");
+            rules.completed(new TaskId("run-4", i));
+        }
+        rules.checkServed();
+        assertBroken("unserved at 241.0 s: largest of class c: run-4 begins after 241 s");
+    }
+
+    private static JobSpec wide(String id) {
+        return new JobSpec(id, "c", "t", JobSpec.Shape.BATCH, Rank.HIGH, 3, 1_000, 0, 1_000, "i", 1, null, null, false,
+                false, false, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+    }
+
     @Test
     void wrongAnswers() {
         rules.told("run-1", status("run-1", JobState.PENDING));
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -1,12 +1,14 @@
 package org.granitepath.simulation;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Rank;
@@ -22,7 +24,7 @@
 import org.granitepath.coordination.UserAnswer.JobState;
 import org.granitepath.coordination.WorkerPort;
 
-/** Three controllers with stand-ins for all around them, users included, in simulated time from a seed. */
+/** Controllers with stand-ins for all around them, users included, in simulated time from a seed. */
 final class Simulation {
     static final long SECOND = 1_000_000;
     private static final long USER_TIMEOUT = 5 * SECOND;
@@ -48,7 +50,7 @@
             life++;
             world.setDown(name, false);
             int ours = life;
-            Config config = new Config(name, name + "-" + life, NODES.stream().filter(n -> !n.equals(name)).toList(),
+            Config config = new Config(name, name + "-" + life, names.stream().filter(n -> !n.equals(name)).toList(),
                     ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1, 0)), REPORT, LEASE, CANCEL,
                     1000, 200, 2048, 8, 5, 4 * SECOND, 250_000, Config.Tuning.defaults());
             controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name),
@@ -97,11 +99,11 @@
         }
     }
 
-    static final List<String> NODES = List.of("n0", "n1", "n2");
     static final long REPORT = SECOND;
     static final long LEASE = 11 * SECOND;
     static final long CANCEL = 31 * SECOND;
 
+    final List<String> names;
     final World world;
     final Rules rules;
     final SimState state;
@@ -109,36 +111,57 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
     private final Set<TaskId> results = new HashSet<>();
+    private final Map<String, Integer> startsAsked = new HashMap<>();
     private int submissions;
     int doneTold;
 
     Simulation(long seed) {
+        this(seed, 3, 5);
+    }
+
+    /** @param perOffer how many machines of each type, zone and kind there are */
+    Simulation(long seed, int controllers, int perOffer) {
+        names = IntStream.range(0, controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
         rules = new Rules(world, TEAMS, CANCEL);
         state = new SimState(world, 8, 2048);
         List<MachineType> types = List.of(
                 new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
                 new MachineType("large", 16_000, 0, 64_000, 1.0, 1.0, 0.3, 5 * SECOND, ZONES));
-        cloud = new SimCloud(world, types, 5, 4 * SECOND, (id, h) -> new SimWorker(world, rules,
+        cloud = new SimCloud(world, types, perOffer, 4 * SECOND, (id, h) -> new SimWorker(world, rules,
                 new SimWorker.Controllers() {
                     @Override
                     public List<String> names() {
-                        return NODES;
+                        return names;
                     }
 
                     @Override
                     public BeatAnswer beat(String node, Beat beat) {
                         Controller c = nodes.get(node).controller;
-                        return c == null ? new BeatAnswer.Unavailable() : c.beat(beat);
+                        BeatAnswer answer = c == null ? new BeatAnswer.Unavailable() : c.beat(beat);
+                        if (answer instanceof BeatAnswer.Accepted a) {
+                            countStarts(beat.host(), a.orders());
+                        }
+                        return answer;
                     }
                 }, jobs::get, results, id, types.stream().filter(t -> t.name().equals(h.type())).findFirst()
                 .orElseThrow(), h.zone(), h.spot(), REPORT, LEASE));
-        for (String n : NODES) {
+        for (String n : names) {
             nodes.put(n, new Node(n));
         }
         nodes.values().forEach(Node::boot);
     }
 
+    private void countStarts(String host, List<Order> orders) {
+        int starts = (int) orders.stream().filter(o -> o.verb() == Order.Verb.START).count();
+        startsAsked.merge(host, starts, Integer::sum);
+    }
+
+    /** How many starts this machine was ever told, heard or not. */
+    int startsAskedOf(SimWorker w) {
+        return startsAsked.getOrDefault(w.id, 0);
+    }
+
     private PeerPort peerPort(String node) {
         return (peer, ours, then) -> world.<PeerPort.Greeting>callLater(node, peer, SECOND, answer -> {
             Controller c = nodes.get(peer).controller;
@@ -152,6 +175,7 @@
         return new WorkerPort() {
             @Override
             public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
+                countStarts(address, orders);
                 call(address, w -> w.orders(baton, session, orders), then);
             }
 
@@ -203,19 +227,37 @@
         }
     }
 
+    /** Its reports arrive, but neither answers nor commands reach it. */
+    void deafen(SimWorker w, long forMicros) {
+        for (String n : names) {
+            world.block(n, w.id);
+            world.after(forMicros, () -> world.heal(n, w.id));
+        }
+    }
+
+    /** Loses the state service and the other controllers, but not its workers. */
+    void cutFromPeersAndState(String node, World.Cut how, long forMicros) {
+        cut(node, SimState.NAME, how, forMicros);
+        for (String n : names) {
+            if (!n.equals(node)) {
+                cut(node, n, how, forMicros);
+            }
+        }
+    }
+
     void cutMachine(SimWorker w, World.Cut how, long forMicros) {
-        for (String n : NODES) {
+        for (String n : names) {
             cut(n, w.id, how, forMicros);
         }
     }
 
     String owner() {
         return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner()).map(n -> n.name)
-                .findFirst().orElse("n0");
+                .findFirst().orElse(names.get(0));
     }
 
     String anyNode() {
-        return NODES.get(world.random.nextInt(NODES.size()));
+        return names.get(world.random.nextInt(names.size()));
     }
 
     SimWorker anyWorker() {
@@ -261,9 +303,7 @@
 
     private void poll(String id) {
         world.after(5 * SECOND, () -> ask(id, (c, then) -> c.poll(id, then), answer -> {
-            if (rules.finalTold(id) == null || world.random.nextInt(3) > 0) {
-                poll(id);
-            }
+            poll(id);
             if (answer instanceof UserAnswer.Status s && s.state() == JobState.DONE) {
                 doneTold++;
             }
@@ -326,4 +366,15 @@
     void run(long until) {
         world.run(until, rules::check);
     }
+
+    /** The same with the check that every job stays known, from the time on at which the last trouble is over. */
+    void run(long troublesOver, long until) {
+        world.after(troublesOver - world.now(), () -> watchKnown(troublesOver));
+        run(until);
+    }
+
+    private void watchKnown(long over) {
+        rules.checkKnown(over);
+        world.after(SECOND, () -> watchKnown(over));
+    }
 }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -1,8 +1,10 @@
 package org.granitepath.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.granitepath.bookkeeping.JobSpec;
@@ -69,7 +71,7 @@
         switch (random.nextInt(12)) {
             case 0 -> s.crash(s.owner(), 300_000 + random.nextInt(6_000_000));
             case 1 -> s.crash(s.anyNode(), 300_000 + random.nextInt(6_000_000));
-            case 2 -> Simulation.NODES.forEach(n -> s.crash(n, SECOND + random.nextInt(4_000_000)));
+            case 2 -> s.names.forEach(n -> s.crash(n, SECOND + random.nextInt(4_000_000)));
             case 3 -> s.cut(s.owner(), SimState.NAME, how, time);
             case 4 -> s.cutFromWorkers(s.owner(), how, time);
             case 5 -> {
@@ -120,7 +122,7 @@
             String owner = s.owner();
             s.cut(owner, SimState.NAME, World.Cut.HOLD, 120 * SECOND);
             // The successors can't reach the workers: only the lease can end the tasks.
-            for (String n : Simulation.NODES) {
+            for (String n : s.names) {
                 if (!n.equals(owner)) {
                     s.cutFromWorkers(n, World.Cut.DROP, 120 * SECOND);
                 }
@@ -143,4 +145,159 @@
         assertRules(s);
         assertEquals(List.of(), s.unfinishedBatches());
     }
+
+    /** Reports arrive, answers and commands don't: the machine is not filled again and again, but given back. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14})
+    void machineThatDoesNotHear(long seed) {
+        Simulation s = withJobs(seed, 30, 100 * SECOND);
+        List<SimWorker> deaf = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            s.world.after((30 + 12 * i) * SECOND, () -> {
+                SimWorker w = s.anyWorker();
+                deaf.add(w);
+                s.deafen(w, 150 * SECOND);
+            });
+        }
+        s.run(200 * SECOND, 400 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+        assertTrue(deaf.stream().noneMatch(SimWorker::alive), "a machine that does not hear us is returned");
+        assertTrue(deaf.stream().allMatch(w -> s.startsAskedOf(w) <= 24), "filled again and again");
+    }
+
+    /** Copies of reports and requests, seconds to several leases late, while owners and machines come and go. */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24, 25, 26})
+    void lateCopiesOfReports(long seed) {
+        Simulation s = withJobs(seed, 35, 120 * SECOND);
+        s.world.lateCopies = 0.25;
+        for (int i = 0; i < 5; i++) {
+            s.world.after((20 + 25 * i) * SECOND, () -> s.crash(s.owner(), 300_000 + s.world.random.nextInt(5_000_000)));
+            s.world.after((32 + 25 * i) * SECOND, () -> machineTrouble(s, World.Cut.HOLD, 15 * SECOND));
+        }
+        s.run(180 * SECOND, 420 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
+    /** A cancellation told elsewhere while the owner sees neither the state service nor its peers, only its workers. */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34})
+    void ownerKeepsOnlyItsWorkers(long seed) {
+        Simulation s = withJobs(seed, 25, 80 * SECOND);
+        for (int i = 0; i < 3; i++) {
+            s.submit(s.job(true, 4, Rank.CRITICAL, "free", false, true, false, 0, 0), (30 + 6 * i) * SECOND);
+        }
+        s.world.after(32 * SECOND, () -> s.cutFromPeersAndState(s.owner(), seed % 2 == 0 ? World.Cut.HOLD
+                : World.Cut.DROP, 70 * SECOND));
+        s.run(110 * SECOND, 300 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
+    /** An owner that alone has lost the machines hands them over before their leases run out. */
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43})
+    void ownerCutFromItsWorkersHandsOver(long seed) {
+        Simulation s = withJobs(seed, 25, 60 * SECOND);
+        String[] cut = new String[1];
+        s.world.after(50 * SECOND, () -> {
+            cut[0] = s.owner();
+            s.cutFromWorkers(cut[0], World.Cut.DROP, 60 * SECOND);
+        });
+        s.run(50 * SECOND + Simulation.LEASE);
+        assertNotEquals(cut[0], s.owner(), "the owner that reaches no machine is still the owner");
+        s.run(120 * SECOND, 300 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
+    /** Back within a fraction of a second, owner and others, at any moment of an election. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54, 55})
+    void backWithinAFractionOfASecond(long seed) {
+        Simulation s = withJobs(seed, 30, 100 * SECOND);
+        s.world.lateCopies = 0.1;
+        for (int i = 0; i < 40; i++) {
+            boolean owner = i % 3 > 0;
+            s.world.after(20 * SECOND + i * 2 * SECOND + s.world.random.nextInt(2_000_000),
+                    () -> s.crash(owner ? s.owner() : s.anyNode(), 20_000 + s.world.random.nextInt(400_000)));
+        }
+        s.run(110 * SECOND, 330 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
+    /**
+     * More machines than one transaction could name: the takeover once rewrote every roster, and beyond some machines
+     * nobody could own them any more. Owners crash, also in the middle of a takeover, and the state service goes away.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62})
+    void fiveControllersAndHundredsOfMachines(long seed) {
+        Simulation s = new Simulation(seed, 5, 30);
+        for (int i = 0; i < 12; i++) {
+            s.world.after(2 * SECOND + i * 5 * SECOND, () -> s.submit(s.job(false, 120, Rank.STANDARD, "free",
+                    s.world.random.nextBoolean(), false, false, 25 * SECOND, 0), -1));
+            s.world.after(2 * SECOND + i * 5 * SECOND, () -> s.submit(s.job(true, 6, Rank.CRITICAL, "free", false, true,
+                    false, 0, 0), 120 * SECOND));
+        }
+        int[] most = new int[1];
+        s.world.after(45 * SECOND, () -> {
+            most[0] = s.cloud.workers().size();
+            s.crash(s.owner(), 4 * SECOND);
+        });
+        s.world.after(49 * SECOND, () -> s.crash(s.owner(), 300_000));
+        s.world.after(70 * SECOND, () -> s.names.forEach(n -> s.crash(n, SECOND)));
+        s.world.after(75 * SECOND, () -> s.state.setOutage(true));
+        s.world.after(85 * SECOND, () -> s.state.setOutage(false));
+        s.run(100 * SECOND, 300 * SECOND);
+        assertTrue(most[0] > 150, "only " + most[0] + " machines");
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+        s.rules.checkServed();
+        assertRules(s);
+    }
+
+    /** Far more work than room, for minutes: wide and low jobs begin all the same, and half of every kind is served. */
+    @ParameterizedTest
+    @ValueSource(longs = {71, 72, 73})
+    void overloadStarvesNobody(long seed) {
+        Simulation s = new Simulation(seed, 3, 1);
+        for (int i = 0; i < 60; i++) {
+            int n = i;
+            s.world.after(2 * SECOND + i * 5 * SECOND, () -> s.submit(s.job(false, n % 10 == 3 ? 60 : 8, Rank.STANDARD,
+                    n % 7 == 0 ? "tight" : "free", true, false, false, 15 * SECOND, 0), -1));
+            s.world.after(2 * SECOND + i * 5 * SECOND, () -> {
+                if (n % 4 == 0) {
+                    s.submit(s.job(false, n % 8 == 0 ? 40 : 6, Rank.BEST_EFFORT, "free", true, false, false, 12 * SECOND,
+                            3 * SECOND), -1);
+                }
+            });
+        }
+        s.run(310 * SECOND, 900 * SECOND);
+        s.rules.checkServed();
+        assertRules(s);
+    }
+
+    /** On a full site the jobs that can be in time together are, instead of all being late together. */
+    @Test
+    void narrowJobsMakeTheirDeadlinesBesideAWideOne() {
+        Simulation s = new Simulation(81, 3, 1);
+        JobSpec wide = s.job(false, 300, Rank.STANDARD, "free", true, false, false, 12 * SECOND, 0);
+        s.submit(wide, -1);
+        List<JobSpec> narrow = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            narrow.add(s.job(false, 8, Rank.STANDARD, "free", true, false, false, 12 * SECOND, 0));
+        }
+        s.world.after(40 * SECOND, () -> narrow.forEach(j -> s.submit(j, -1)));
+        s.run(40 * SECOND + narrow.get(0).deadlineMicros() + 5 * SECOND);
+        List<String> unfinished = s.unfinishedBatches();
+        assertTrue(unfinished.contains(wide.id()), "the wide job was to be too much");
+        assertTrue(narrow.stream().noneMatch(j -> unfinished.contains(j.id())), unfinished.toString());
+        s.run(600 * SECOND);
+        assertEquals(List.of(), s.unfinishedBatches());
+        assertRules(s);
+    }
 }
--- a/src/test/java/org/granitepath/simulation/World.java
+++ b/src/test/java/org/granitepath/simulation/World.java
@@ -62,6 +62,11 @@
         cuts.put(link(b, a), how);
     }
 
+    /** One direction only. */
+    void block(String from, String to) {
+        cuts.put(link(from, to), Cut.DROP);
+    }
+
     void heal(String a, String b) {
         for (String l : List.of(link(a, b), link(b, a))) {
             cuts.remove(l);
