--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -118,7 +118,8 @@
                 real(rest, "patience-share", d.patienceShare(), 0, 1),
                 seconds(rest, "gang-hold-s", d.gangHoldMicros(), 0, 600),
                 (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000),
-                seconds(rest, "longest-yield-s", d.longestYieldMicros(), 1, 86_400));
+                seconds(rest, "longest-yield-s", d.longestYieldMicros(), 1, 86_400),
+                real(rest, "headroom-share", d.headroomShare(), 0, 10));
         if (!rest.isEmpty()) {
             throw new Invalid(file + ": unknown setting " + rest.keySet().iterator().next());
         }
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/Arrivals.java
@@ -0,0 +1,28 @@
+package org.granitepath.coordination;
+
+/** How fast live services arrive, as a fading average. */
+final class Arrivals {
+    private static final double MEMORY_MICROS = 60e6;
+
+    private double rate;
+    private long atMicros;
+    private ActiveJob newest;
+
+    void accepted(ActiveJob job, long now) {
+        if (Outlook.isLive(job)) {
+            rate = cpuPerMicro(now) + job.spec.tasks() * (double) job.spec.cpuMillis() / MEMORY_MICROS;
+            atMicros = now;
+            newest = job;
+        }
+    }
+
+    /** Thousandths of a CPU that arrive in a microsecond. */
+    double cpuPerMicro(long now) {
+        return rate * Math.exp((atMicros - now) / MEMORY_MICROS);
+    }
+
+    /** An example of what arrives; null when nothing has. */
+    ActiveJob newest() {
+        return newest;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -23,14 +23,21 @@
     private static final long SERVICE_HORIZON_MICROS = 600_000_000;
     /** A service that starts this much later is worth half as much to its users. */
     private static final double LATE_START_MICROS = 120e6;
-    private static final long LEAST_CHARGE_MICROS = 60_000_000;
+    static final long LEAST_CHARGE_MICROS = 60_000_000;
     private static final long SUMMARY_MICROS = 10_000_000;
     private static final int RENT_AT_ONCE = 50;
     private static final int RETURN_AT_ONCE = 100;
     private static final int LIST_PAGE = 500;
 
+    /** Beyond this many boot times a machine may be late by much, or never come: it is not waited for. */
+    private static final double LATE_BOOT = 1.6;
+
     /** A machine rented and not yet heard. */
-    private record Booting(String id, MachineType type, String zone, boolean spot, long rentedMicros) {}
+    private record Booting(String id, MachineType type, String zone, boolean spot, long rentedMicros) {
+        boolean overdue(long now) {
+            return now - rentedMicros > LATE_BOOT * type.bootMicros();
+        }
+    }
 
     private record Offer(MachineType type, String zone, boolean spot, ActiveJob job) {
         String key() {
@@ -81,6 +88,8 @@
     private long bookings;
     /** CPUs for batch work on machines on their way, in the plan at hand. */
     private double roomComing;
+    /** CPUs that live services could take beyond the headroom wanted for them. */
+    private double headroomSpare = Double.MAX_VALUE;
     private boolean renting;
     private boolean returning;
     private boolean listing;
@@ -229,7 +238,9 @@
         }
         List<Bin> bins = new ArrayList<>();
         for (Booting b : booting.values()) {
-            bins.add(new Bin(b.type(), b.zone(), b.spot()));
+            if (!b.overdue(now)) {
+                bins.add(new Bin(b.type(), b.zone(), b.spot()));
+            }
         }
         for (Machine m : dispatcher.machines()) {
             // Just arrived and not yet ready for tasks.
@@ -251,9 +262,18 @@
         }
         Map<String, Integer> counts = new LinkedHashMap<>();
         Map<String, Offer> offers = new HashMap<>();
+        boolean liveDone = false;
         for (ActiveJob job : waiting) {
+            if (!liveDone && !Outlook.isLive(job)) {
+                // What is on its way is headroom once the live services at hand have theirs, whatever else wants it.
+                planHeadroom(bins, counts, offers);
+                liveDone = true;
+            }
             plan(job, bins, counts, offers, now);
         }
+        if (!liveDone) {
+            planHeadroom(bins, counts, offers);
+        }
         Offer best = null;
         int most = 0;
         for (var e : counts.entrySet()) {
@@ -267,13 +287,59 @@
         }
     }
 
+    /**
+     * Room that live services can take at once, free or by stopping lower work, for as many as arrive while a machine
+     * boots. Lower work may use it meanwhile.
+     */
+    private void planHeadroom(List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers) {
+        ActiveJob newest = dispatcher.arrivals().newest();
+        headroomSpare = Double.MAX_VALUE;
+        if (newest == null) {
+            return;
+        }
+        Map<String, Double> roomByZone = new HashMap<>();
+        double room = 0;
+        double live = 0;
+        for (Machine m : dispatcher.machines()) {
+            if (!m.spot && m.type != null && m.phase != Machine.Phase.RETURNING && m.type.fits(newest.spec)) {
+                double free = m.type.cpuMillis() - m.cpuUsedByServices();
+                live += m.cpuUsedByServices();
+                room += free;
+                roomByZone.merge(m.zone, free, Double::sum);
+            }
+        }
+        for (Bin bin : bins) {
+            if (!bin.spot) {
+                room += bin.cpu;
+                roomByZone.merge(bin.zone, (double) bin.cpu, Double::sum);
+            }
+        }
+        Map<String, Integer> none = new HashMap<>();
+        Offer offer = cheapest(newest, true, Integer.MAX_VALUE, none, counts, timers.nowMicros());
+        if (offer == null) {
+            return;
+        }
+        double wanted = Math.min(dispatcher.arrivals().cpuPerMicro(timers.nowMicros()) * offer.type().bootMicros(),
+                config.tuning().headroomShare() * live);
+        headroomSpare = room - wanted;
+        if (room < wanted) {
+            String zone = offer.type().zones().stream().filter(z -> !refusedUntil.containsKey(
+                    new Offer(offer.type(), z, false, newest).key()))
+                    .min(Comparator.comparingDouble(z -> roomByZone.getOrDefault(z, 0.0))).orElse(offer.zone());
+            Offer there = new Offer(offer.type(), zone, false, newest);
+            offers.putIfAbsent(there.key(), there);
+            counts.merge(there.key(), (int) Math.ceil((wanted - room) / offer.type().cpuMillis()), Integer::sum);
+        }
+    }
+
     private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
                       long now) {
         JobSpec spec = job.spec;
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
         int left = Math.min(job.waiting(), 2000);
+        boolean patient = dispatcher.outlook().patient(job, roomComing, now);
         for (Bin bin : bins) {
-            while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
+            while (left > 0 && (bin.spot || !patient) && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
                 zoneCounts.merge(bin.zone, 1, Integer::sum);
                 left--;
             }
@@ -422,6 +488,12 @@
             boolean dead = trustSilence && now - m.heardMicros > silenceMicros();
             boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
                     && now - m.idleSinceMicros > idleMicros(m) && now - m.rentedMicros > LEAST_CHARGE_MICROS;
+            m.kept = idle && !m.spot && headroomSpare < m.cpuFree();
+            if (m.kept) {
+                idle = false;
+            } else if (idle && !m.spot) {
+                headroomSpare -= m.cpuFree();
+            }
             // Its reports come, but our answers and orders don't get there.
             boolean deaf = m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered
                     && now - m.unconfirmedMicros > config.leaseMicros() && trustSilence;
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -28,16 +28,17 @@
      * @param patienceShare share of a class's wait aim that may pass before machines are rented at full price
      * @param gangHoldMicros how long freed room is held for a gang that does not fit
      * @param claimBlock how many tasks of a job are claimed ahead, at least
-     * @param longestYieldMicros age from which a job no longer gives way to others that can make their deadlines
+     * @param longestYieldMicros how long a job may be without any task before it no longer gives way to others
+     * @param headroomShare most room kept for live services to come, as a share of what the present ones use
      */
     public record Tuning(long leaderLeaseMicros, double idleShare, double idleShareSpot, double criticalWeight, double highWeight,
                          double standardWeight, double bestEffortWeight, double patienceShare,
-                         long gangHoldMicros, int claimBlock, long longestYieldMicros) {
+                         long gangHoldMicros, int claimBlock, long longestYieldMicros, double headroomShare) {
         private static final int BLOCKS_OF_A_WIDE_JOB = 6;
         private static final int WIDE_SERVICE = 32;
 
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6, 150_000_000);
+            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6, 150_000_000, 0.08);
         }
 
         /** Tasks claimed with the acceptance: of work that runs together, all. */
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -62,6 +62,7 @@
     private final Rosters rosters;
     private final TeamLimits teamLimits;
     private final Estimates estimates = new Estimates();
+    private final Arrivals arrivals = new Arrivals();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, ActiveJob> jobs = new LinkedHashMap<>();
     private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -641,6 +642,7 @@
     public void accepted(JobRecord record) {
         if (!jobs.containsKey(record.spec().id())) {
             open(record);
+            arrivals.accepted(jobs.get(record.spec().id()), timers.nowMicros());
             scheduleSoon();
         }
     }
@@ -753,12 +755,16 @@
 
     /** Whether a job may use this machine now, room aside. */
     boolean eligible(Machine m, ActiveJob job, long now) {
-        return m.takesTasks() && suits(m, job) && !m.quiet(now, config.reportMicros());
+        return m.takesTasks() && suits(m, job, now) && !m.quiet(now, config.reportMicros());
     }
 
-    /** Work that can wait leaves full-price machines alone that no service needs, so that they can be returned. */
-    boolean suits(Machine m, ActiveJob job) {
-        return m.allowedFor(job.spec) && job.zoneAllows(m.zone) && (!job.patient || m.spot || m.hostsService());
+    /**
+     * Work that can wait leaves full-price machines alone that no service needs, so that they can be returned, unless
+     * it is over before a return could save anything.
+     */
+    boolean suits(Machine m, ActiveJob job, long now) {
+        return m.allowedFor(job.spec) && job.zoneAllows(m.zone) && (!job.patient || m.spot || m.hostsService() || m.kept
+                || now + estimates.taskMicros(job) < m.rentedMicros + Autoscaler.LEAST_CHARGE_MICROS);
     }
 
     boolean teamAllows(JobSpec spec) {
@@ -774,6 +780,10 @@
         return estimates;
     }
 
+    Arrivals arrivals() {
+        return arrivals;
+    }
+
     Outlook outlook() {
         return outlook;
     }
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -46,6 +46,8 @@
     /** From this moment on nobody can have kept the worker's lease alive, provided that we don't either. */
     long leaseOverMicros;
     boolean callUnderWay;
+    /** Idle, but kept as headroom for live services: other work may use it meanwhile. */
+    boolean kept;
     int failures;
     long idleSinceMicros;
     long firstHeardMicros;
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -76,7 +76,7 @@
                 }
                 break; // room that becomes free now goes to the gang
             }
-            Machine m = pick(job);
+            Machine m = pick(job, now);
             if (m == null) {
                 hopeless.add(needs);
                 roomMaker.makeRoom(job, job.waiting() + waitingAlike(queue, needs), false, now);
@@ -157,11 +157,11 @@
 
     // ---- machines ----------------------------------------------------------------------------------------------
 
-    private Machine pick(ActiveJob job) {
+    private Machine pick(ActiveJob job, long now) {
         Machine best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (Machine m : roomy) {
-            if (m.hasRoom(job.spec) && m.takesTasks() && dispatcher.suits(m, job)) {
+            if (m.hasRoom(job.spec) && m.takesTasks() && dispatcher.suits(m, job, now)) {
                 double score = score(m, job.spec);
                 if (score > bestScore) {
                     bestScore = score;
@@ -193,7 +193,7 @@
         }
         List<Placement> placed = new ArrayList<>();
         while (job.waiting() > 0) {
-            Machine m = dispatcher.teamAllows(job.spec) ? pick(job) : null;
+            Machine m = dispatcher.teamAllows(job.spec) ? pick(job, now) : null;
             if (m == null) {
                 placed.forEach(p -> dispatcher.free(p, "the gang does not fit"));
                 return false;
