--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -25,7 +25,7 @@
      * Operators' own choices, from the YAML file.
      *
      * @param idleShare how long a machine may stand idle, in boot times of its type; {@code idleShareSpot} likewise
-     * @param patienceShare share of a class's wait aim that may pass before machines are rented at full price
+     * @param patienceShare share of a class's wait or finish aim that may pass before work of it uses full-price machines
      * @param gangHoldMicros how long freed room is held for a gang that does not fit
      * @param claimBlock how many tasks of a job are claimed ahead, at least
      * @param longestYieldMicros how long a job may be without any task before it no longer gives way to others
@@ -38,7 +38,7 @@
         private static final int WIDE_SERVICE = 32;
 
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 1.0, 10_000_000, 6, 150_000_000, 0.08);
+            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 0.5, 10_000_000, 6, 150_000_000, 0.08);
         }
 
         /** Tasks claimed with the acceptance: of work that runs together, all. */
--- a/src/main/java/org/granitepath/coordination/Outlook.java
+++ b/src/main/java/org/granitepath/coordination/Outlook.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Rank;
 
 /**
@@ -160,14 +161,21 @@
             return false;
         }
         if (job.spec.hasDeadline() && finishAim(job) == 0) {
-            double wait = urgentWork / Math.max(1, cheapRoom + moreRoom);
+            // Should the wait turn out longer, there must be time left to rent a machine after all.
+            double wait = urgentWork / Math.max(1, cheapRoom + moreRoom) + quickestBootMicros();
             return dispatcher.ageMicros(job, now) + wait + estimates.taskMicros(job) <= job.spec.deadlineMicros();
         }
-        long aim = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE).waitMicros();
-        if (aim == 0) {
+        Config.Objective o = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
+        if (o.waitMicros() == 0 && o.finishMicros() == 0) {
             return !stalled(job, now);
         }
+        double aim = Math.min(o.waitMicros() == 0 ? Double.MAX_VALUE : o.waitMicros(),
+                o.finishMicros() == 0 ? Double.MAX_VALUE : o.finishMicros() - estimates.taskMicros(job));
         long waited = job.waitingSinceMicros < 0 ? 0 : now - job.waitingSinceMicros;
         return waited + batchWork / Math.max(1, cheapRoom + moreRoom) <= aim * config.tuning().patienceShare();
     }
+
+    private double quickestBootMicros() {
+        return dispatcher.types().values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
+    }
 }
