--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -1,5 +1,6 @@
 package org.granitepath.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -28,6 +29,7 @@
     private static final int RENT_AT_ONCE = 50;
     private static final int RETURN_AT_ONCE = 100;
     private static final int LIST_PAGE = 500;
+    private static final int MOST_PLANNED = 2000;
 
     /** Beyond this many boot times a machine may be late by much, or never come: it is not waited for. */
     private static final double LATE_BOOT = 1.6;
@@ -88,6 +90,7 @@
     private long bookings;
     /** CPUs for batch work on machines on their way, in the plan at hand. */
     private double roomComing;
+    private final Object2IntOpenHashMap<Alike> alikeLeft = new Object2IntOpenHashMap<>();
     /** CPUs that live services could take beyond the headroom wanted for them. */
     private double headroomSpare = Double.MAX_VALUE;
     private boolean renting;
@@ -262,6 +265,12 @@
         }
         Map<String, Integer> counts = new LinkedHashMap<>();
         Map<String, Offer> offers = new HashMap<>();
+        alikeLeft.clear();
+        for (ActiveJob job : waiting) {
+            if (Outlook.isLive(job)) {
+                alikeLeft.addTo(Alike.of(job.spec), job.waiting());
+            }
+        }
         boolean liveDone = false;
         for (ActiveJob job : waiting) {
             if (!liveDone && !Outlook.isLive(job)) {
@@ -277,9 +286,12 @@
         Offer best = null;
         int most = 0;
         for (var e : counts.entrySet()) {
-            if (e.getValue() > most) {
+            Offer offer = offers.get(e.getKey());
+            boolean live = Outlook.isLive(offer.job());
+            if (best == null || live && !Outlook.isLive(best.job())
+                    || live == Outlook.isLive(best.job()) && e.getValue() > most) {
                 most = e.getValue();
-                best = offers.get(e.getKey());
+                best = offer;
             }
         }
         if (best != null && mayCall(now)) {
@@ -332,20 +344,32 @@
         }
     }
 
+    /** Live services that need the same are bought for as a class: they share machines. */
+    private record Alike(long cpu, long gpu, long memory, List<String> types, String zone, boolean spot) {
+        static Alike of(JobSpec s) {
+            return new Alike(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), s.spot());
+        }
+    }
+
     private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
                       long now) {
         JobSpec spec = job.spec;
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
-        int left = Math.min(job.waiting(), 2000);
+        int left = Math.min(job.waiting(), MOST_PLANNED);
+        Alike alike = Alike.of(spec);
+        // From here on the class lacks what the jobs after this one want.
+        int others = Outlook.isLive(job) ? alikeLeft.addTo(alike, -job.waiting()) - job.waiting() : 0;
         boolean patient = dispatcher.outlook().patient(job, roomComing, now);
         for (Bin bin : bins) {
-            while (left > 0 && (bin.spot || !patient) && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
+            while (left > 0 && (bin.spot || !patient) && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap()
+                    && bin.take(spec)) {
                 zoneCounts.merge(bin.zone, 1, Integer::sum);
                 left--;
             }
         }
         while (left > 0) {
-            Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left, zoneCounts, counts, now);
+            Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left + others,
+                    zoneCounts, counts, now);
             if (offer == null) {
                 return;
             }
@@ -473,7 +497,7 @@
         }
         int silent = 0;
         for (Machine m : dispatcher.machines()) {
-            if (now - m.heardMicros > silenceMicros()) {
+            if (now - m.heardMicros > silenceMicros(m)) {
                 silent++;
             }
         }
@@ -485,7 +509,7 @@
             if (ids.size() >= RETURN_AT_ONCE) {
                 break;
             }
-            boolean dead = trustSilence && now - m.heardMicros > silenceMicros();
+            boolean dead = trustSilence && now - m.heardMicros > silenceMicros(m);
             boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
                     && now - m.idleSinceMicros > idleMicros(m) && now - m.rentedMicros > LEAST_CHARGE_MICROS;
             m.kept = idle && !m.spot && headroomSpare < m.cpuFree();
@@ -531,7 +555,9 @@
         return m.type == null ? 30_000_000 : (long) (share * m.type.bootMicros());
     }
 
-    private long silenceMicros() {
-        return Math.max(3 * config.reportMicros(), config.leaseMicros() / 3) + 1_000_000;
+    /** How long a machine may be silent before it is given up; less when it doesn't answer a direct question either. */
+    private long silenceMicros(Machine m) {
+        return m.probeFailed ? 2 * config.reportMicros() + 1_000_000
+                : Math.max(3 * config.reportMicros(), config.leaseMicros() / 3) + 1_000_000;
     }
 }
--- a/src/main/java/org/granitepath/coordination/Consolidator.java
+++ b/src/main/java/org/granitepath/coordination/Consolidator.java
@@ -1,6 +1,8 @@
 package org.granitepath.coordination;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,11 +15,16 @@
 final class Consolidator {
     private static final long EVERY_MICROS = 4_000_000;
     private static final double MOST_USED_TO_EMPTY = 0.75;
+    private static final int MACHINES_FOR_ONE_MORE = 50;
+    /** A replica is not to be away for longer than this, for its image, only because it moves. */
+    private static final double LONGEST_FETCH_SECONDS = 2;
     /** A replica is not moved before it has run this long. */
     private static final long SETTLED_MICROS = 40_000_000;
 
     private final Dispatcher dispatcher;
     private final Collection<Machine> machines;
+    /** Room promised in this round. */
+    private final Map<Machine, long[]> taken = new LinkedHashMap<>();
     private long dueMicros;
 
     Consolidator(Dispatcher dispatcher, Collection<Machine> machines) {
@@ -35,21 +42,29 @@
                 return;
             }
         }
-        Machine emptiest = null;
+        // A few at a time, so that what moves finds its place before more moves.
+        int atOnce = 1 + machines.size() / MACHINES_FOR_ONE_MORE;
+        List<Machine> emptiest = new ArrayList<>();
         for (Machine m : machines) {
             if (m.phase == Machine.Phase.DRAINING && !m.placements.isEmpty()) {
-                return; // one at a time
+                atOnce--;
+            } else if (mayEmpty(m, now)) {
+                emptiest.add(m);
             }
-            if (mayEmpty(m, now) && (emptiest == null || m.cpuUsedShare() < emptiest.cpuUsedShare())) {
-                emptiest = m;
-            }
-        }
-        if (emptiest == null || !othersHold(emptiest)) {
-            return;
         }
-        dispatcher.drain(emptiest, "its " + emptiest.placements.size() + " replicas fit elsewhere");
-        for (Placement p : List.copyOf(emptiest.placements.values())) {
-            dispatcher.stop(p, 0, "moves to a fuller machine");
+        emptiest.sort(Comparator.comparingDouble(Machine::cpuUsedShare));
+        taken.clear();
+        for (Machine m : emptiest) {
+            if (atOnce <= 0) {
+                return;
+            }
+            if (!taken.containsKey(m) && othersHold(m)) {
+                atOnce--;
+                dispatcher.drain(m, "its " + m.placements.size() + " replicas fit elsewhere");
+                for (Placement p : List.copyOf(m.placements.values())) {
+                    dispatcher.stop(p, 0, "moves to a fuller machine");
+                }
+            }
         }
     }
 
@@ -66,15 +81,18 @@
         return true;
     }
 
-    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images. */
+    private static boolean soonHas(Machine m, JobSpec s) {
+        return m.hasImage(s.image()) || s.imageGb() / m.type.fetchGbPerSecond() < LONGEST_FETCH_SECONDS;
+    }
+
+    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images or nearly so. */
     private boolean othersHold(Machine from) {
-        Map<Machine, long[]> taken = new LinkedHashMap<>();
         for (Placement p : from.placements.values()) {
             JobSpec s = p.job.spec;
             boolean placed = false;
             for (Machine m : machines) {
                 if (m == from || !m.takesTasks() || !m.allowedFor(s) || !m.zone.equals(from.zone) && s.spread()
-                        || !m.hasImage(s.image()) || m.cpuUsedShare() <= from.cpuUsedShare()) {
+                        || !soonHas(m, s) || m.cpuUsedShare() <= from.cpuUsedShare()) {
                     continue;
                 }
                 long[] used = taken.computeIfAbsent(m, k -> new long[3]);
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -41,6 +41,7 @@
     private static final int TAKEOVER_CALLS_AT_ONCE = 8;
     private static final long ASK_AGAIN_MICROS = 300_000;
     private static final int CALLS_AT_ONCE = 48;
+    private static final double OVERDUE_REPORTS = 1.5;
     private static final long NEWS_MICROS = 1_000_000;
     private static final int DEPARTED_REMEMBERED = 4096;
     private static final double MOST_SILENT_SHARE = 0.6;
@@ -344,7 +345,11 @@
         }
         m.session = beat.session();
         m.sequence = beat.sequence();
-        m.heardMicros = now;
+        if (isReport) {
+            // Answers to direct calls don't count: without reports the worker's lease runs out all the same.
+            m.heardMicros = now;
+            m.probeFailed = false;
+        }
         m.address = beat.address();
         long leaseOver = now + Config.withDrift(config.leaseMicros()) + Config.MARGIN_MICROS;
         m.leaseOverMicros = m.inherited && !current ? Math.max(m.leaseOverMicros, leaseOver) : leaseOver;
@@ -803,6 +808,24 @@
 
     // ---- time --------------------------------------------------------------------------------------------------
 
+    /** A report is overdue: whether the machine can be reached at all is soon known. */
+    private void probe(Machine m, long now) {
+        if (now - m.heardMicros > OVERDUE_REPORTS * config.reportMicros() && m.probedMicros < m.heardMicros
+                && !m.callUnderWay && calls < CALLS_AT_ONCE) {
+            m.probedMicros = now;
+            calls++;
+            workers.show(m.address, reply -> {
+                calls--;
+                if (!ended && m.phase != Machine.Phase.GONE) {
+                    m.probeFailed = reply.report() == null && m.heardMicros < m.probedMicros;
+                    if (reply.report() != null) {
+                        hear(m, reply.report(), false);
+                    }
+                }
+            });
+        }
+    }
+
     private void tick() {
         if (ended) {
             return;
@@ -816,6 +839,7 @@
                 proveGone(m, "its lease is over");
                 continue;
             }
+            probe(m, now);
             boolean quiet = m.quiet(now, config.reportMicros());
             if (m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered && !m.wantsNewBaton && !quiet
                     && calls < CALLS_AT_ONCE) {
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -40,7 +40,11 @@
     boolean inherited;
     long session = -1;
     long sequence = -1;
+    /** Its latest report. */
     long heardMicros;
+    /** Asked directly since it was last heard, and there was no answer. */
+    boolean probeFailed;
+    long probedMicros;
     /** Since when it has not been heard under its present baton. */
     long unconfirmedMicros;
     /** From this moment on nobody can have kept the worker's lease alive, provided that we don't either. */
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -36,6 +36,7 @@
     private final Map<String, Long> submittedAt = new LinkedHashMap<>();
     private final Map<String, Long> answeredAt = new HashMap<>();
     private final Map<String, Long> begunAt = new HashMap<>();
+    private final Map<String, Long> completedAt = new HashMap<>();
     int starts;
 
     Rules(World world, Map<String, Config.Team> teams, long cancelMicros) {
@@ -98,6 +99,7 @@
     }
 
     void completed(TaskId task) {
+        completedAt.put(task.job(), world.now());
         completed.computeIfAbsent(task.job(), j -> new HashSet<>()).add(task.index());
     }
 
@@ -177,6 +179,11 @@
         return accepted.contains(job);
     }
 
+    /** From submission to the last task that completed so far. */
+    long finishedAfter(String job) {
+        return completedAt.getOrDefault(job, Long.MAX_VALUE / 2) - submittedAt.get(job);
+    }
+
     JobState finalTold(String job) {
         return toldFinal.get(job);
     }
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -235,6 +235,20 @@
         }
     }
 
+    /** Answers and commands reach it, but its reports are lost. */
+    void mute(SimWorker w, long forMicros) {
+        w.mute(true);
+        world.after(forMicros, () -> w.mute(false));
+    }
+
+    /** A copy of a report arrives at the owner; its answer gets lost. */
+    void deliver(Beat late) {
+        Controller c = nodes.get(owner()).controller;
+        if (c != null) {
+            c.beat(late);
+        }
+    }
+
     /** Loses the state service and the other controllers, but not its workers. */
     void cutFromPeersAndState(String node, World.Cut how, long forMicros) {
         cut(node, SimState.NAME, how, forMicros);
