A successor returns no machine that it has not asked, or that answers it

Ruled out: the machines themselves (no cut in three of four zones), the owner's processor. A machine that answers direct calls is now given a whole lease to report; one that does not is given up after two reports and a second.

--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -555,9 +555,11 @@
         return m.type == null ? 30_000_000 : (long) (share * m.type.bootMicros());
     }
 
-    /** How long a machine may be silent before it is given up; less when it doesn't answer a direct question either. */
+    /**
+     * How long a machine may be silent before it is given up. One that answers direct calls lives: after a takeover its
+     * reports may still be on their way to the former owner.
+     */
     private long silenceMicros(Machine m) {
-        return m.probeFailed ? 2 * config.reportMicros() + 1_000_000
-                : Math.max(3 * config.reportMicros(), config.leaseMicros() / 3) + 1_000_000;
+        return m.probeFailed ? 2 * config.reportMicros() + 1_000_000 : config.leaseMicros();
     }
 }
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -38,7 +38,7 @@
     /** The next pass comes no sooner than this many times as long as the last one took. */
     private static final int PASS_SPACING = 4;
     private static final long LONGEST_PASS_SPACING_MICROS = 250_000;
-    private static final int TAKEOVER_CALLS_AT_ONCE = 8;
+    private static final int TAKEOVER_CALLS_AT_ONCE = 32;
     private static final long ASK_AGAIN_MICROS = 300_000;
     private static final int CALLS_AT_ONCE = 48;
     private static final double OVERDUE_REPORTS = 1.5;
@@ -592,6 +592,7 @@
 
     private void callWorker(Machine m, List<Order> orders, List<Placement> starts, Runnable answered) {
         m.callUnderWay = true;
+        m.probedMicros = timers.nowMicros();
         calls++;
         long baton = m.baton;
         // Of a machine taken over the session is not known; a wrong guess is answered with the right one.
@@ -607,6 +608,7 @@
     }
 
     private void take(Machine m, long baton, List<Placement> starts, WorkerPort.Reply reply) {
+        m.probeFailed = reply.report() == null && m.heardMicros < m.probedMicros;
         if (reply.report() == null) {
             if (!starts.isEmpty()) {
                 rosters.raise(m, "a direct start has no answer");
@@ -810,19 +812,9 @@
 
     /** A report is overdue: whether the machine can be reached at all is soon known. */
     private void probe(Machine m, long now) {
-        if (now - m.heardMicros > OVERDUE_REPORTS * config.reportMicros() && m.probedMicros < m.heardMicros
-                && !m.callUnderWay && calls < CALLS_AT_ONCE) {
-            m.probedMicros = now;
-            calls++;
-            workers.show(m.address, reply -> {
-                calls--;
-                if (!ended && m.phase != Machine.Phase.GONE) {
-                    m.probeFailed = reply.report() == null && m.heardMicros < m.probedMicros;
-                    if (reply.report() != null) {
-                        hear(m, reply.report(), false);
-                    }
-                }
-            });
+        if (now - m.heardMicros > OVERDUE_REPORTS * config.reportMicros() && !m.inherited && !m.callUnderWay
+                && now - m.probedMicros > config.reportMicros() && calls < CALLS_AT_ONCE) {
+            callWorker(m, List.of(), List.of(), () -> { });
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -42,8 +42,9 @@
     long sequence = -1;
     /** Its latest report. */
     long heardMicros;
-    /** Asked directly since it was last heard, and there was no answer. */
+    /** Called directly since its latest report, and there was no answer. */
     boolean probeFailed;
+    /** When it was last called. */
     long probedMicros;
     /** Since when it has not been heard under its present baton. */
     long unconfirmedMicros;
--- a/src/test/java/org/granitepath/simulation/SimCloud.java
+++ b/src/test/java/org/granitepath/simulation/SimCloud.java
@@ -33,6 +33,8 @@
     private final Map<String, List<String>> bookings = new HashMap<>();
     private final TreeMap<String, Host> hosts = new TreeMap<>();
     private final TreeMap<Long, List<CloudPort.ListedHost>> snapshots = new TreeMap<>();
+    /** Machines that were given back with tasks running on them. */
+    final List<String> returnedBusy = new ArrayList<>();
     private int created;
     private boolean outage;
 
@@ -102,6 +104,9 @@
     private void remove(String id) {
         Host h = hosts.remove(id);
         if (h != null && h.worker != null) {
+            if (h.worker.alive() && h.worker.busy()) {
+                returnedBusy.add(id);
+            }
             h.worker.die();
         }
     }
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -101,6 +101,10 @@
         return latest;
     }
 
+    boolean busy() {
+        return runs.values().stream().anyMatch(r -> r.state == TaskState.RUNNING);
+    }
+
     boolean alive() {
         return !dead;
     }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -275,6 +275,36 @@
         assertEquals(List.of(), s.unfinishedBatches());
     }
 
+    /**
+     * An owner cut from the state service goes on answering its workers, and some machines can't be reached at all: the
+     * successor must not take those for dead that it has not yet asked, or that still report to the former owner.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {91, 92, 93})
+    void takeoverReturnsNoHealthyMachine(long seed) {
+        Simulation s = new Simulation(seed, 5, 20);
+        for (int i = 0; i < 8; i++) {
+            s.submit(s.job(false, 150, Rank.STANDARD, "free", true, false, false, 30 * SECOND, 0), -1);
+            s.submit(s.job(true, 6, Rank.CRITICAL, "free", false, true, false, 0, 0), -1);
+        }
+        List<String> cut = new ArrayList<>();
+        s.world.after(45 * SECOND, () -> {
+            s.cutFromPeersAndState(s.owner(), World.Cut.DROP, 40 * SECOND);
+            List<SimWorker> all = s.cloud.workers();
+            for (int i = 0; i < all.size(); i += 4) {
+                cut.add(all.get(i).id);
+                s.cutMachine(all.get(i), World.Cut.HOLD, 25 * SECOND);
+            }
+        });
+        s.run(100 * SECOND);
+        List<String> healthy = new ArrayList<>(s.cloud.returnedBusy);
+        healthy.removeAll(cut);
+        assertEquals(List.of(), healthy, "returned with tasks on them");
+        s.run(100 * SECOND, 500 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
     /** Back within a fraction of a second, owner and others, at any moment of an election. */
     @ParameterizedTest
     @ValueSource(longs = {51, 52, 53, 54, 55})
