--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -1,13 +1,10 @@
 package org.granitepath.coordination;
 
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Timers;
 import org.slf4j.Logger;
@@ -21,16 +18,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Autoscaler.class);
     private static final long TICK_MICROS = 1_000_000;
     private static final long REFUSED_MICROS = 15_000_000;
-    private static final long SERVICE_HORIZON_MICROS = 600_000_000;
-    /** A service that starts this much later is worth half as much to its users. */
-    private static final double LATE_START_MICROS = 120e6;
     static final long LEAST_CHARGE_MICROS = 60_000_000;
     private static final long SUMMARY_MICROS = 10_000_000;
     private static final int RENT_AT_ONCE = 50;
     private static final int RETURN_AT_ONCE = 100;
     private static final int LIST_PAGE = 500;
-    private static final int MOST_PLANNED = 2000;
-
     /** Beyond this many boot times a machine may be late by much, or never come: it is not waited for. */
     private static final double LATE_BOOT = 1.6;
 
@@ -41,42 +33,6 @@
         }
     }
 
-    private record Offer(MachineType type, String zone, boolean spot, ActiveJob job) {
-        String key() {
-            return type.name() + "/" + zone + "/" + spot;
-        }
-    }
-
-    /** Room on a machine that is on its way. */
-    private static final class Bin {
-        final MachineType type;
-        final String zone;
-        final boolean spot;
-        long cpu;
-        long gpu;
-        long memory;
-
-        Bin(MachineType type, String zone, boolean spot) {
-            this.type = type;
-            this.zone = zone;
-            this.spot = spot;
-            cpu = type.cpuMillis();
-            gpu = type.gpuMillis();
-            memory = type.memoryMillis();
-        }
-
-        boolean take(JobSpec s) {
-            if (!s.allowsType(type.name()) || !s.allowsZone(zone) || spot && !s.spot() || s.cpuMillis() > cpu
-                    || s.gpuMillis() > gpu || s.memoryMillis() > memory) {
-                return false;
-            }
-            cpu -= s.cpuMillis();
-            gpu -= s.gpuMillis();
-            memory -= s.memoryMillis();
-            return true;
-        }
-    }
-
     private final Config config;
     private final Dispatcher dispatcher;
     private final Leadership leadership;
@@ -88,9 +44,6 @@
     private final Map<String, Long> refusedUntil = new HashMap<>();
     private final Map<String, Long> returned = new HashMap<>();
     private long bookings;
-    /** CPUs for batch work on machines on their way, in the plan at hand. */
-    private double roomComing;
-    private final Object2IntOpenHashMap<Alike> alikeLeft = new Object2IntOpenHashMap<>();
     /** CPUs that live services could take beyond the headroom wanted for them. */
     private double headroomSpare = Double.MAX_VALUE;
     private boolean renting;
@@ -239,213 +192,40 @@
         if (renting) {
             return;
         }
-        List<Bin> bins = new ArrayList<>();
+        dispatcher.outlook().look(now);
+        RentalPlan plan = new RentalPlan(config, dispatcher, refusedUntil::containsKey, now);
         for (Booting b : booting.values()) {
             if (!b.overdue(now)) {
-                bins.add(new Bin(b.type(), b.zone(), b.spot()));
+                plan.coming(b.type(), b.zone(), b.spot());
             }
         }
         for (Machine m : dispatcher.machines()) {
             // Just arrived and not yet ready for tasks.
             if (m.phase == Machine.Phase.UNCONFIRMED && m.type != null && m.placements.isEmpty() && !m.inherited) {
-                bins.add(new Bin(m.type, m.zone, m.spot));
-            }
-        }
-        List<ActiveJob> waiting = new ArrayList<>();
-        for (ActiveJob j : dispatcher.jobs()) {
-            if (buysFor(j, now)) {
-                waiting.add(j);
-            }
-        }
-        waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
-        dispatcher.outlook().look(now);
-        roomComing = 0;
-        for (Bin bin : bins) {
-            roomComing += bin.type.cpuMillis();
-        }
-        Map<String, Integer> counts = new LinkedHashMap<>();
-        Map<String, Offer> offers = new HashMap<>();
-        alikeLeft.clear();
-        for (ActiveJob job : waiting) {
-            if (Outlook.isLive(job)) {
-                alikeLeft.addTo(Alike.of(job.spec), job.waiting());
-            }
-        }
-        boolean liveDone = false;
-        for (ActiveJob job : waiting) {
-            if (!liveDone && !Outlook.isLive(job)) {
-                // What is on its way is headroom once the live services at hand have theirs, whatever else wants it.
-                planHeadroom(bins, counts, offers);
-                liveDone = true;
-            }
-            plan(job, bins, counts, offers, now);
-        }
-        if (!liveDone) {
-            planHeadroom(bins, counts, offers);
-        }
-        Offer best = null;
-        int most = 0;
-        for (var e : counts.entrySet()) {
-            Offer offer = offers.get(e.getKey());
-            boolean live = Outlook.isLive(offer.job());
-            if (best == null || live && !Outlook.isLive(best.job())
-                    || live == Outlook.isLive(best.job()) && e.getValue() > most) {
-                most = e.getValue();
-                best = offer;
-            }
-        }
-        if (best != null && mayCall(now)) {
-            order(best, Math.min(most, RENT_AT_ONCE));
-        }
-    }
-
-    /**
-     * Room that live services can take at once, free or by stopping lower work, for as many as arrive while a machine
-     * boots. Lower work may use it meanwhile.
-     */
-    private void planHeadroom(List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers) {
-        ActiveJob newest = dispatcher.arrivals().newest();
-        headroomSpare = Double.MAX_VALUE;
-        if (newest == null) {
-            return;
-        }
-        Map<String, Double> roomByZone = new HashMap<>();
-        double room = 0;
-        double live = 0;
-        for (Machine m : dispatcher.machines()) {
-            if (!m.spot && m.type != null && m.phase != Machine.Phase.RETURNING && m.type.fits(newest.spec)) {
-                double free = m.type.cpuMillis() - m.cpuUsedByServices();
-                live += m.cpuUsedByServices();
-                room += free;
-                roomByZone.merge(m.zone, free, Double::sum);
-            }
-        }
-        for (Bin bin : bins) {
-            if (!bin.spot) {
-                room += bin.cpu;
-                roomByZone.merge(bin.zone, (double) bin.cpu, Double::sum);
-            }
-        }
-        Map<String, Integer> none = new HashMap<>();
-        Offer offer = cheapest(newest, true, Integer.MAX_VALUE, none, counts, timers.nowMicros());
-        if (offer == null) {
-            return;
-        }
-        double wanted = Math.min(dispatcher.arrivals().cpuPerMicro(timers.nowMicros()) * offer.type().bootMicros(),
-                config.tuning().headroomShare() * live);
-        headroomSpare = room - wanted;
-        if (room < wanted) {
-            String zone = offer.type().zones().stream().filter(z -> !refusedUntil.containsKey(
-                    new Offer(offer.type(), z, false, newest).key()))
-                    .min(Comparator.comparingDouble(z -> roomByZone.getOrDefault(z, 0.0))).orElse(offer.zone());
-            Offer there = new Offer(offer.type(), zone, false, newest);
-            offers.putIfAbsent(there.key(), there);
-            counts.merge(there.key(), (int) Math.ceil((wanted - room) / offer.type().cpuMillis()), Integer::sum);
-        }
-    }
-
-    /** Live services that need the same are bought for as a class: they share machines. */
-    private record Alike(long cpu, long gpu, long memory, List<String> types, String zone, boolean spot) {
-        static Alike of(JobSpec s) {
-            return new Alike(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), s.spot());
-        }
-    }
-
-    private void plan(ActiveJob job, List<Bin> bins, Map<String, Integer> counts, Map<String, Offer> offers,
-                      long now) {
-        JobSpec spec = job.spec;
-        Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
-        int left = Math.min(job.waiting(), MOST_PLANNED);
-        Alike alike = Alike.of(spec);
-        // From here on the class lacks what the jobs after this one want.
-        int others = Outlook.isLive(job) ? alikeLeft.addTo(alike, -job.waiting()) - job.waiting() : 0;
-        boolean patient = dispatcher.outlook().patient(job, roomComing, now);
-        for (Bin bin : bins) {
-            while (left > 0 && (bin.spot || !patient) && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap()
-                    && bin.take(spec)) {
-                zoneCounts.merge(bin.zone, 1, Integer::sum);
-                left--;
+                plan.coming(m.type, m.zone, m.spot);
             }
         }
-        while (left > 0) {
-            Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left + others,
-                    zoneCounts, counts, now);
-            if (offer == null) {
-                return;
-            }
-            Bin bin = new Bin(offer.type(), offer.zone(), offer.spot());
-            int before = left;
-            while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
-                zoneCounts.merge(bin.zone, 1, Integer::sum);
-                left--;
-            }
-            if (left == before) {
-                return;
-            }
-            bins.add(bin);
-            roomComing += job.spec.service() ? 0 : bin.type.cpuMillis();
-            offers.putIfAbsent(offer.key(), offer);
-            counts.merge(offer.key(), 1, Integer::sum);
-        }
-    }
-
-    /** The offer with the lowest cost for each task of this job, from rental to the task's end. */
-    private Offer cheapest(ActiveJob job, boolean fullPrice, int left, Map<String, Integer> zoneCounts,
-                           Map<String, Integer> counts, long now) {
-        JobSpec spec = job.spec;
-        Offer best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        long horizon = spec.service() ? SERVICE_HORIZON_MICROS : dispatcher.estimates().taskMicros(job);
-        for (MachineType type : dispatcher.types().values()) {
-            if (!type.fits(spec)) {
-                continue;
-            }
-            int used = Math.min(type.slots(spec), left);
-            long ready = type.bootMicros() + (long) (spec.imageGb() / type.fetchGbPerSecond() * 1e6);
-            for (String zone : type.zones()) {
-                if (!spec.allowsZone(zone) || zoneCounts.getOrDefault(zone, 0) >= spec.zoneCap()) {
-                    continue;
-                }
-                for (boolean spot : new boolean[] {true, false}) {
-                    Offer offer = new Offer(type, zone, spot, job);
-                    if (spot && !spec.spot() || !spot && !fullPrice || refusedUntil.containsKey(offer.key())) {
-                        continue;
-                    }
-                    double cost = type.priceFor(spot) * Math.max(ready + horizon, LEAST_CHARGE_MICROS) / used;
-                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros() - dispatcher.ageMicros(job, now)) {
-                        if (!spot && spec.spot()) {
-                            continue; // late all the same: then it can wait for cheaper room
-                        }
-                        cost *= 2;
-                    }
-                    if (spec.service()) {
-                        cost *= 1 + ready / LATE_START_MICROS;
-                    }
-                    // Among equals the zone with the fewest machines on their way.
-                    cost *= 1 + 0.001 * counts.getOrDefault(offer.key(), 0) + 0.0005 * zoneCounts.getOrDefault(zone, 0);
-                    if (cost < bestCost) {
-                        bestCost = cost;
-                        best = offer;
-                    }
-                }
-            }
+        plan.make(dispatcher.jobs().stream().filter(j -> buysFor(j, now)).toList());
+        headroomSpare = plan.headroomSpare();
+        RentalPlan.Purchase first = plan.first();
+        if (first != null && mayCall(now)) {
+            order(first, Math.round(plan.drainMicros() / 1e6));
         }
-        return best;
     }
 
-    private void order(Offer offer, int count) {
+    private void order(RentalPlan.Purchase purchase, long drainSeconds) {
         renting = true;
+        RentalPlan.Offer offer = purchase.offer();
+        int count = Math.min(purchase.count(), RENT_AT_ONCE);
         // The baton is unique to this term of ownership, so no booking's name is ever used twice.
         String booking = "b" + baton + "-" + ++bookings;
-        LOG.info("renting {} of {} in {}{} as {}, first for {} ({}, {} tasks wait; batch drains "
-                + "in {} s)", count, offer.type().name(),
-                offer.zone(), offer.spot() ? " (spot)" : "", booking, offer.job().spec.id(),
-                offer.job().spec.jobClass(), offer.job().waiting(),
-                Math.round(dispatcher.outlook().drainMicros(roomComing) / 1e6));
+        LOG.info("renting {} of {} in {}{} as {}, first for {} ({}, {} tasks wait; batch drains in {} s)", count,
+                offer.type().name(), offer.zone(), offer.spot() ? " (spot)" : "", booking, offer.job().spec.id(),
+                offer.job().spec.jobClass(), offer.job().waiting(), drainSeconds);
         send(new CloudPort.Rental(booking, offer.type().name(), offer.zone(), offer.spot(), count), offer, 0);
     }
 
-    private void send(CloudPort.Rental rental, Offer offer, int tries) {
+    private void send(CloudPort.Rental rental, RentalPlan.Offer offer, int tries) {
         cloud.rent(rental, answer -> {
             if (dispatcher.ended()) {
                 return;
@@ -501,7 +281,8 @@
                 silent++;
             }
         }
-        // Many silent at once: perhaps we are the ones cut off. Peers that don't hear them either tell us that we are not.
+        // Many silent at once: perhaps we are the ones cut off. Peers that don't hear them either tell us that we are
+        // not.
         int elsewhere = peers.mostTurnedAway();
         boolean trustSilence = silent <= Math.max(2, dispatcher.machines().size() / 5)
                 || silent <= dispatcher.machines().size() / 2 && elsewhere >= 0 && elsewhere < silent / 4;
@@ -524,7 +305,8 @@
             boolean drained = m.phase == Machine.Phase.DRAINING && m.placements.isEmpty();
             if (m.phase == Machine.Phase.RETURNING || dead || deaf || idle || drained) {
                 if (m.phase != Machine.Phase.RETURNING) {
-                    m.transition(Machine.Phase.RETURNING, dead ? "silent" : deaf ? "does not hear us" : idle ? "idle" : "drained");
+                    m.transition(Machine.Phase.RETURNING, dead ? "silent" : deaf ? "does not hear us"
+                            : idle ? "idle" : "drained");
                 }
                 ids.add(m.id);
             }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -25,14 +25,14 @@
      * Operators' own choices, from the YAML file.
      *
      * @param idleShare how long a machine may stand idle, in boot times of its type; {@code idleShareSpot} likewise
-     * @param patienceShare share of a class's wait or finish aim that may pass before work of it uses full-price machines
+     * @param patienceShare share of a class's wait or finish aim that may pass before it uses full-price machines
      * @param gangHoldMicros how long freed room is held for a gang that does not fit
      * @param claimBlock how many tasks of a job are claimed ahead, at least
      * @param longestYieldMicros how long a job may be without any task before it no longer gives way to others
      * @param headroomShare most room kept for live services to come, as a share of what the present ones use
      */
-    public record Tuning(long leaderLeaseMicros, double idleShare, double idleShareSpot, double criticalWeight, double highWeight,
-                         double standardWeight, double bestEffortWeight, double patienceShare,
+    public record Tuning(long leaderLeaseMicros, double idleShare, double idleShareSpot, double criticalWeight,
+                         double highWeight, double standardWeight, double bestEffortWeight, double patienceShare,
                          long gangHoldMicros, int claimBlock, long longestYieldMicros, double headroomShare) {
         private static final int BLOCKS_OF_A_WIDE_JOB = 6;
         private static final int WIDE_SERVICE = 32;
--- a/src/main/java/org/granitepath/coordination/Consolidator.java
+++ b/src/main/java/org/granitepath/coordination/Consolidator.java
@@ -85,7 +85,7 @@
         return m.hasImage(s.image()) || s.imageGb() / m.type.fetchGbPerSecond() < LONGEST_FETCH_SECONDS;
     }
 
-    /** Whether machines that are fuller have room for all tasks of this one, in its zone and with their images or nearly so. */
+    /** Whether fuller machines have room for all tasks of this one, in its zone and with their images or nearly so. */
     private boolean othersHold(Machine from) {
         for (Placement p : from.placements.values()) {
             JobSpec s = p.job.spec;
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -48,7 +48,8 @@
         this.cloud = cloud;
         this.workers = workers;
         this.timers = timers;
-        this.mirror = new Mirror(state, timers, (long) (1e6 * (config.peers().size() + 1) / (config.stateRequests() * READ_SHARE)),
+        double readsPerSecond = config.stateRequests() * READ_SHARE / (config.peers().size() + 1);
+        this.mirror = new Mirror(state, timers, (long) (1e6 / readsPerSecond),
                 new Mirror.Listener() {
                     @Override
                     public void changed(String key, Map<String, Object> value, long stamp) {
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -7,7 +7,6 @@
 import org.granitepath.bookkeeping.Fields;
 import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.Mirror;
-import org.granitepath.bookkeeping.RosterRecord;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
@@ -169,7 +168,8 @@
     private void seize(long newLease, long began, boolean formerSelf) {
         Map<String, Object> former = mirror.value(Keys.LEADER);
         // Our former process is dead, but one that it deposed may still hold on for a while after that.
-        boolean predecessorDead = formerSelf && former != null && timers.timeOfDayMicros() - Fields.longOf(former, "at", Long.MAX_VALUE)
+        boolean predecessorDead = formerSelf && former != null
+                && timers.timeOfDayMicros() - Fields.longOf(former, "at", Long.MAX_VALUE)
                 > config.holdMicros() + 2 * config.skewMicros() + Config.MARGIN_MICROS;
         Map<String, Object> counter = mirror.value(Keys.BATON);
         long baton = (counter == null ? 0 : Fields.longOf(counter, "last", 0)) + 1;
@@ -222,8 +222,8 @@
     }
 
     /**
-     * The owner's record: all machines on the rosters belong to {@code owner} under the baton {@code term}, but for those
-     * whose row names a higher one. It outlives the owner's lease, so no machine is ever without exactly one owner.
+     * The owner's record: all machines on the rosters belong to {@code owner} under the baton {@code term}, but for
+     * those whose row names a higher one. It outlives the owner's lease, so no machine is ever without exactly one owner.
      */
     static Map<String, Object> batonRecord(String owner, long term, long last) {
         return Map.of("owner", owner, "term", term, "last", last);
--- a/src/main/java/org/granitepath/coordination/Ledger.java
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -28,7 +28,7 @@
     private static final int TXN_BYTES = 48 * 1024;
     private static final double KEPT_FROM_NEWS = 0.3;
 
-    /** What goes first when the budget is short: what keeps work safe, what lets work start, what merely tells of it. */
+    /** What goes first when the budget is short: what keeps work safe, what lets it start, what merely tells of it. */
     public enum Urgency { SAFETY, WORK, NEWS }
 
     /** One thing to be written: a few changes that belong together. */
@@ -133,7 +133,8 @@
         List<String> withdrawn = new ArrayList<>();
         for (Urgency urgency : Urgency.values()) {
             // News leave part of the budget free, so that what is urgent need not wait for it.
-            int room = urgency == Urgency.NEWS ? Math.min(most, (int) (tokens - writesPerSecond * KEPT_FROM_NEWS)) : most;
+            int room = urgency != Urgency.NEWS ? most
+                    : Math.min(most, (int) (tokens - writesPerSecond * KEPT_FROM_NEWS));
             for (var named : wanted.entrySet()) {
                 Entry e = named.getValue();
                 if (changes.size() >= room) {
--- a/src/main/java/org/granitepath/coordination/Outlook.java
+++ b/src/main/java/org/granitepath/coordination/Outlook.java
@@ -1,7 +1,6 @@
 package org.granitepath.coordination;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -16,16 +15,12 @@
     private static final long EVERY_MICROS = 250_000;
     /** What packing leaves unused, and what running tasks hold of a machine that is to be emptied. */
     private static final double USABLE = 0.9;
-    /** Share of the room until a deadline whose use presses the jobs due by then. */
-    private static final double PRESSING = 0.6;
 
     /**
      * Live services come first. Of the rest, jobs that can make their deadlines all together go before those that can
-     * make the longest multiple that the aims name, and these before what is late all the same or has no deadline. Where
-     * the room up to some deadline is nearly all needed, the jobs due until then are pressed: they can't share it with
-     * jobs that are due later.
+     * make the longest multiple that the aims name, and these before what is late all the same or has no deadline.
      */
-    enum Turn { LIVE, PRESSED, IN_TIME, NEARLY, ANY }
+    enum Turn { LIVE, IN_TIME, NEARLY, ANY }
 
     private record Due(ActiveJob job, double work, double micros) {}
 
@@ -62,7 +57,7 @@
             if (isLive(j)) {
                 j.turn = Turn.LIVE;
             } else if (stalled(j, now)) {
-                j.turn = Turn.PRESSED;
+                j.turn = Turn.IN_TIME;
             } else if (j.spec.hasDeadline() || finishAim(j) > 0) {
                 long left = (finishAim(j) > 0 ? finishAim(j) : j.spec.deadlineMicros())
                         - dispatcher.ageMicros(j, now);
@@ -93,35 +88,18 @@
         for (Due d : jobs) {
             taken.add(d);
             sum += d.work();
-            while (sum > usable(d) && !taken.isEmpty() && room > 0) {
+            // The last wave of tasks does not fill the room to its end.
+            double usable = room * USABLE * (d.micros() - estimates.taskMicros(d.job()) / 2.0);
+            while (sum > usable && !taken.isEmpty() && room > 0) {
                 Due largest = taken.poll();
                 sum -= largest.work();
                 leftOut.add(largest);
             }
         }
-        press(taken.stream().sorted(Comparator.comparingDouble(Due::micros)).toList(), turn);
-        return sum;
-    }
-
-    private void press(List<Due> byDeadline, Turn turn) {
-        double sum = 0;
-        int pressed = 0;
-        for (int i = 0; i < byDeadline.size(); i++) {
-            Due d = byDeadline.get(i);
+        for (Due d : taken) {
             d.job().turn = turn;
-            sum += d.work();
-            if (sum > PRESSING * usable(d)) {
-                pressed = i + 1;
-            }
         }
-        for (Due d : turn == Turn.IN_TIME ? byDeadline.subList(0, pressed) : List.<Due>of()) {
-            d.job().turn = Turn.PRESSED;
-        }
-    }
-
-    /** CPU time until this is due; the last wave of tasks does not fill the room to its end. */
-    private double usable(Due d) {
-        return room * USABLE * (d.micros() - estimates.taskMicros(d.job()) / 2.0);
+        return sum;
     }
 
     static boolean isLive(ActiveJob job) {
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/RentalPlan.java
@@ -0,0 +1,264 @@
+package org.granitepath.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+
+/** What is to be rented for the work that waits, given what is on its way. Made anew before each rental. */
+final class RentalPlan {
+    private static final long SERVICE_HORIZON_MICROS = 600_000_000;
+    /** A service that starts this much later is worth half as much to its users. */
+    private static final double LATE_START_MICROS = 120e6;
+    private static final int MOST_PLANNED = 2000;
+
+    record Offer(MachineType type, String zone, boolean spot, ActiveJob job) {
+        String key() {
+            return type.name() + "/" + zone + "/" + spot;
+        }
+    }
+
+    record Purchase(Offer offer, int count) {}
+
+    /** Room on a machine that is on its way. */
+    private static final class Bin {
+        final MachineType type;
+        final String zone;
+        final boolean spot;
+        long cpu;
+        long gpu;
+        long memory;
+
+        Bin(MachineType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            cpu = type.cpuMillis();
+            gpu = type.gpuMillis();
+            memory = type.memoryMillis();
+        }
+
+        boolean take(JobSpec s) {
+            if (!s.allowsType(type.name()) || !s.allowsZone(zone) || spot && !s.spot() || s.cpuMillis() > cpu
+                    || s.gpuMillis() > gpu || s.memoryMillis() > memory) {
+                return false;
+            }
+            cpu -= s.cpuMillis();
+            gpu -= s.gpuMillis();
+            memory -= s.memoryMillis();
+            return true;
+        }
+    }
+
+    /** Live services that need the same are bought for as a class: they share machines. */
+    private record Alike(long cpu, long gpu, long memory, List<String> types, String zone, boolean spot) {
+        static Alike of(JobSpec s) {
+            return new Alike(s.cpuMillis(), s.gpuMillis(), s.memoryMillis(), s.types(), s.zone(), s.spot());
+        }
+    }
+
+    private final Config config;
+    private final Dispatcher dispatcher;
+    /** Offers of which the cloud lately had none. */
+    private final Predicate<String> refused;
+    private final long now;
+    private final List<Bin> bins = new ArrayList<>();
+    private final Map<String, Integer> counts = new LinkedHashMap<>();
+    private final Map<String, Offer> offers = new HashMap<>();
+    private final Object2IntOpenHashMap<Alike> alikeLeft = new Object2IntOpenHashMap<>();
+    /** CPUs for batch work on machines on their way. */
+    private double roomComing;
+    private double headroomSpare = Double.MAX_VALUE;
+
+    RentalPlan(Config config, Dispatcher dispatcher, Predicate<String> refused, long now) {
+        this.config = config;
+        this.dispatcher = dispatcher;
+        this.refused = refused;
+        this.now = now;
+    }
+
+    /** A machine that is on its way. */
+    void coming(MachineType type, String zone, boolean spot) {
+        bins.add(new Bin(type, zone, spot));
+        roomComing += type.cpuMillis();
+    }
+
+    void make(Collection<ActiveJob> wanting) {
+        List<ActiveJob> waiting = new ArrayList<>(wanting);
+        waiting.sort(Comparator.comparing((ActiveJob j) -> j.spec.rank()).thenComparing(j -> j.acceptedMicros));
+        for (ActiveJob job : waiting) {
+            if (Outlook.isLive(job)) {
+                alikeLeft.addTo(Alike.of(job.spec), job.waiting());
+            }
+        }
+        boolean liveDone = false;
+        for (ActiveJob job : waiting) {
+            if (!liveDone && !Outlook.isLive(job)) {
+                // What is on its way is headroom once the live services at hand have theirs, whatever else wants it.
+                planHeadroom();
+                liveDone = true;
+            }
+            plan(job);
+        }
+        if (!liveDone) {
+            planHeadroom();
+        }
+    }
+
+    /** What to rent first: for live services before other work, then most of a kind. Null: nothing. */
+    Purchase first() {
+        Purchase best = null;
+        for (var e : counts.entrySet()) {
+            Purchase p = new Purchase(offers.get(e.getKey()), e.getValue());
+            boolean live = Outlook.isLive(p.offer().job());
+            boolean bestLive = best != null && Outlook.isLive(best.offer().job());
+            if (best == null || live && !bestLive || live == bestLive && p.count() > best.count()) {
+                best = p;
+            }
+        }
+        return best;
+    }
+
+    /** CPUs that live services could take beyond the headroom wanted for them. */
+    double headroomSpare() {
+        return headroomSpare;
+    }
+
+    double drainMicros() {
+        return dispatcher.outlook().drainMicros(roomComing);
+    }
+
+    private void buy(Offer offer, int count) {
+        offers.putIfAbsent(offer.key(), offer);
+        counts.merge(offer.key(), count, Integer::sum);
+    }
+
+    /**
+     * Room that live services can take at once, free or by stopping lower work, for as many as arrive while a machine
+     * boots. Lower work may use it meanwhile.
+     */
+    private void planHeadroom() {
+        ActiveJob newest = dispatcher.arrivals().newest();
+        if (newest == null) {
+            return;
+        }
+        Map<String, Double> roomByZone = new HashMap<>();
+        double room = 0;
+        double live = 0;
+        for (Machine m : dispatcher.machines()) {
+            if (!m.spot && m.type != null && m.phase != Machine.Phase.RETURNING && m.type.fits(newest.spec)) {
+                double free = m.type.cpuMillis() - m.cpuUsedByServices();
+                live += m.cpuUsedByServices();
+                room += free;
+                roomByZone.merge(m.zone, free, Double::sum);
+            }
+        }
+        for (Bin bin : bins) {
+            if (!bin.spot) {
+                room += bin.cpu;
+                roomByZone.merge(bin.zone, (double) bin.cpu, Double::sum);
+            }
+        }
+        Map<String, Integer> none = new HashMap<>();
+        Offer offer = cheapest(newest, true, Integer.MAX_VALUE, none);
+        if (offer == null) {
+            return;
+        }
+        double wanted = Math.min(dispatcher.arrivals().cpuPerMicro(now) * offer.type().bootMicros(),
+                config.tuning().headroomShare() * live);
+        headroomSpare = room - wanted;
+        if (room < wanted) {
+            String zone = offer.type().zones().stream().filter(z -> !refused.test(
+                    new Offer(offer.type(), z, false, newest).key()))
+                    .min(Comparator.comparingDouble(z -> roomByZone.getOrDefault(z, 0.0))).orElse(offer.zone());
+            Offer there = new Offer(offer.type(), zone, false, newest);
+            buy(there, (int) Math.ceil((wanted - room) / offer.type().cpuMillis()));
+        }
+    }
+
+    private void plan(ActiveJob job) {
+        JobSpec spec = job.spec;
+        Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
+        int left = Math.min(job.waiting(), MOST_PLANNED);
+        Alike alike = Alike.of(spec);
+        // From here on the class lacks what the jobs after this one want.
+        int others = Outlook.isLive(job) ? alikeLeft.addTo(alike, -job.waiting()) - job.waiting() : 0;
+        boolean patient = dispatcher.outlook().patient(job, roomComing, now);
+        for (Bin bin : bins) {
+            while (left > 0 && (bin.spot || !patient) && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap()
+                    && bin.take(spec)) {
+                zoneCounts.merge(bin.zone, 1, Integer::sum);
+                left--;
+            }
+        }
+        while (left > 0) {
+            Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left + others,
+                    zoneCounts);
+            if (offer == null) {
+                return;
+            }
+            Bin bin = new Bin(offer.type(), offer.zone(), offer.spot());
+            int before = left;
+            while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
+                zoneCounts.merge(bin.zone, 1, Integer::sum);
+                left--;
+            }
+            if (left == before) {
+                return;
+            }
+            bins.add(bin);
+            roomComing += job.spec.service() ? 0 : bin.type.cpuMillis();
+            buy(offer, 1);
+        }
+    }
+
+    /** The offer with the lowest cost for each task of this job, from rental to the task's end. */
+    private Offer cheapest(ActiveJob job, boolean fullPrice, int left, Map<String, Integer> zoneCounts) {
+        JobSpec spec = job.spec;
+        Offer best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        long horizon = spec.service() ? SERVICE_HORIZON_MICROS : dispatcher.estimates().taskMicros(job);
+        for (MachineType type : dispatcher.types().values()) {
+            if (!type.fits(spec)) {
+                continue;
+            }
+            int used = Math.min(type.slots(spec), left);
+            long ready = type.bootMicros() + (long) (spec.imageGb() / type.fetchGbPerSecond() * 1e6);
+            for (String zone : type.zones()) {
+                if (!spec.allowsZone(zone) || zoneCounts.getOrDefault(zone, 0) >= spec.zoneCap()) {
+                    continue;
+                }
+                for (boolean spot : new boolean[] {true, false}) {
+                    Offer offer = new Offer(type, zone, spot, job);
+                    if (spot && !spec.spot() || !spot && !fullPrice || refused.test(offer.key())) {
+                        continue;
+                    }
+                    double cost = type.priceFor(spot) * Math.max(ready + horizon, Autoscaler.LEAST_CHARGE_MICROS) / used;
+                    if (spec.hasDeadline() && ready + horizon > spec.deadlineMicros() - dispatcher.ageMicros(job, now)) {
+                        if (!spot && spec.spot()) {
+                            continue; // late all the same: then it can wait for cheaper room
+                        }
+                        cost *= 2;
+                    }
+                    if (spec.service()) {
+                        cost *= 1 + ready / LATE_START_MICROS;
+                    }
+                    // Among equals the zone with the fewest machines on their way.
+                    cost *= 1 + 0.001 * counts.getOrDefault(offer.key(), 0) + 0.0005 * zoneCounts.getOrDefault(zone, 0);
+                    if (cost < bestCost) {
+                        bestCost = cost;
+                        best = offer;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Rank;
@@ -28,9 +29,9 @@
     private record Needs(long cpu, long gpu, long memory, List<String> types, String zone, List<String> closedZones,
                          boolean spot, boolean patient, Rank rank) {
         boolean atMost(Needs other) {
-            return cpu <= other.cpu && gpu <= other.gpu && memory <= other.memory && spot == other.spot && patient == other.patient
-                    && rank == other.rank && java.util.Objects.equals(types, other.types)
-                    && java.util.Objects.equals(zone, other.zone) && closedZones.equals(other.closedZones);
+            return cpu <= other.cpu && gpu <= other.gpu && memory <= other.memory && spot == other.spot
+                    && patient == other.patient && rank == other.rank && Objects.equals(types, other.types)
+                    && Objects.equals(zone, other.zone) && closedZones.equals(other.closedZones);
         }
     }
 
@@ -83,7 +84,8 @@
                 continue;
             }
             // A moment's patience gets a live replica onto a machine that already has its image.
-            if (Outlook.isLive(job) && !m.hasImage(job.spec.image()) && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS
+            if (Outlook.isLive(job) && !m.hasImage(job.spec.image())
+                    && now - job.waitingSinceMicros < ROOM_PATIENCE_MICROS
                     && roomMaker.makeRoom(job, 1, true, now) > 0) {
                 continue;
             }
@@ -151,8 +153,8 @@
     }
 
     private Candidate candidate(ActiveJob job) {
-        return new Candidate(job, Outlook.isLive(job) ? Outlook.Turn.LIVE : job.turn, fairShare.share(job.spec.rank(), job.spec.hasDeadline(),
-                job.spec.tasks(), job.left(), job.running()));
+        return new Candidate(job, Outlook.isLive(job) ? Outlook.Turn.LIVE : job.turn, fairShare.share(job.spec.rank(),
+                job.spec.hasDeadline(), job.spec.tasks(), job.left(), job.running()));
     }
 
     // ---- machines ----------------------------------------------------------------------------------------------
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -184,6 +184,11 @@
         return completedAt.getOrDefault(job, Long.MAX_VALUE / 2) - submittedAt.get(job);
     }
 
+    /** From submission to the first task's start. */
+    long begunAfter(String job) {
+        return begunAt.getOrDefault(job, Long.MAX_VALUE / 2) - submittedAt.get(job);
+    }
+
     JobState finalTold(String job) {
         return toldFinal.get(job);
     }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -373,6 +373,24 @@
         assertRules(s);
     }
 
+    /** Services keep arriving: for most of them there is room already when they come. */
+    @Test
+    void headroomForServicesToCome() {
+        Simulation s = new Simulation(75, 3, 10);
+        List<JobSpec> late = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            JobSpec j = s.job(true, 2, Rank.CRITICAL, "free", false, true, false, 0, 0);
+            s.world.after(2 * SECOND + i * 3 * SECOND, () -> s.submit(j, -1));
+            if (i >= 25) {
+                late.add(j);
+            }
+        }
+        s.run(200 * SECOND);
+        assertRules(s);
+        long prompt = late.stream().filter(j -> s.rules.begunAfter(j.id()) < 5 * SECOND).count();
+        assertTrue(prompt >= late.size() * 0.9, prompt + " of " + late.size() + " began at once");
+    }
+
     /** On a full site the jobs that can be in time together are, instead of all being late together. */
     @ParameterizedTest
     @ValueSource(longs = {81, 82, 83})
@@ -389,7 +407,6 @@
         assertRules(s);
         assertEquals(List.of(), s.unfinishedBatches());
         long inTime = jobs.stream().filter(j -> s.rules.finishedAfter(j.id()) <= j.deadlineMicros()).count();
-        System.out.println("INTIME " + seed + " " + inTime);
         assertTrue(inTime >= 4, inTime + " of " + jobs.size() + " in time");
     }
 }
