--- a/src/test/java/org/granitepath/simulation/LedgerTest.java
+++ b/src/test/java/org/granitepath/simulation/BudgetTest.java
@@ -13,8 +13,8 @@
 import org.granitepath.coordination.Ledger.Urgency;
 import org.junit.jupiter.api.Test;
 
-/** Hundreds of wishes on a small budget. */
-class LedgerTest {
+/** Hundreds of wishes, or of questions, on a small budget. */
+class BudgetTest {
     private final World world = new World(1);
     private final SimState state = new SimState(world, 8, 2048);
     private final Timers timers = new Timers() {
@@ -34,8 +34,7 @@
         }
     };
 
-    @Test
-    void urgentWishesOvertakeAndWaitingOnesCostNothing() {
+    private Mirror mirror() {
         Mirror mirror = new Mirror(state.portFor("n"), timers, 50_000, new Mirror.Listener() {
             @Override
             public void changed(String key, Map<String, Object> value, long stamp) {
@@ -47,6 +46,32 @@
         });
         mirror.start();
         world.run(1_000_000, () -> { });
+        return mirror;
+    }
+
+    /** Barriers and long polls once ran side by side, each at the full rate, while the records changed. */
+    @Test
+    void manyQuestionsShareFewReads() {
+        Mirror mirror = mirror();
+        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 20, List::of, () -> true);
+        int[] answered = new int[1];
+        for (int i = 0; i < 2_000; i++) {
+            world.after(i * 5_000, () -> mirror.barrier(fresh -> answered[0] += fresh ? 1 : 0));
+        }
+        for (int i = 0; i < 150; i++) {
+            String key = "g/n/" + i;
+            world.after(i * 66_000, () -> ledger.want(key, Urgency.WORK, 0,
+                    () -> List.of(Change.write(key, Map.of("x", 1))), epoch -> { }));
+        }
+        int before = state.reads;
+        world.run(14_000_000, () -> { });
+        assertEquals(2_000, answered[0]);
+        assertTrue(state.reads - before <= 10_000_000 / 50_000 * 1.1, state.reads - before + " reads in 10 s");
+    }
+
+    @Test
+    void urgentWishesOvertakeAndWaitingOnesCostNothing() {
+        Mirror mirror = mirror();
         Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 10, List::of, () -> true);
         List<String> written = new ArrayList<>();
         int[] made = new int[1];
--- a/src/test/java/org/granitepath/simulation/SimCloud.java
+++ b/src/test/java/org/granitepath/simulation/SimCloud.java
@@ -35,6 +35,8 @@
     private final TreeMap<Long, List<CloudPort.ListedHost>> snapshots = new TreeMap<>();
     /** Machines that were given back with tasks running on them. */
     final List<String> returnedBusy = new ArrayList<>();
+    /** How many of the next machines never come up. */
+    int neverUp;
     private int created;
     private boolean outage;
 
@@ -83,7 +85,7 @@
             h.zone = r.zone();
             h.spot = r.spot();
             h.rented = world.now();
-            boolean never = world.random.nextInt(30) == 0;
+            boolean never = world.random.nextInt(30) == 0 || neverUp-- > 0;
             h.up = world.now() + (never ? Long.MAX_VALUE / 4
                     : (long) (h.type.bootMicros() * (0.1 + 1.4 * world.random.nextDouble())));
             hosts.put(h.id, h);
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -41,6 +41,8 @@
     private long epoch;
     private long leases;
     int oversized;
+    /** Requests to read, long polls included. */
+    int reads;
 
     SimState(World world, int txnOps, int valueBytes) {
         this.world = world;
@@ -194,6 +196,7 @@
 
             @Override
             public void follow(String prefix, long from, long waitMicros, Consumer<Page> then) {
+                reads++;
                 world.<Page>callLater(node, NAME, TIMEOUT + waitMicros, answer -> {
                     if (away(node)) {
                         answer.accept(new Page(Outcome.REFUSED, List.of(), false, 0));
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -391,6 +391,32 @@
         assertTrue(prompt >= late.size() * 0.9, prompt + " of " + late.size() + " began at once");
     }
 
+    /** Each service alone would take small machines; together they also fill large ones, which are up sooner. */
+    @Test
+    void servicesAreBoughtForAsAClass() {
+        Simulation s = new Simulation(76, 3, 20);
+        for (int i = 0; i < 40; i++) {
+            s.submit(s.job(true, 4, Rank.CRITICAL, "free", false, true, false, 0, 0), -1);
+        }
+        s.run(30 * SECOND);
+        assertRules(s);
+        long large = s.cloud.workers().stream().filter(w -> w.type.name().equals("large")).count();
+        assertTrue(large >= 2, large + " large machines");
+    }
+
+    /** Machines that never come up are not waited for until they are given back. */
+    @ParameterizedTest
+    @ValueSource(longs = {77, 78, 79})
+    void lateBootsAreNotWaitedFor(long seed) {
+        Simulation s = new Simulation(seed, 3, 5);
+        s.cloud.neverUp = 2;
+        JobSpec j = s.job(true, 4, Rank.CRITICAL, "free", false, true, false, 0, 0);
+        s.submit(j, -1);
+        s.run(90 * SECOND);
+        assertRules(s);
+        assertTrue(s.rules.begunAfter(j.id()) < 45 * SECOND, "begun after " + s.rules.begunAfter(j.id()) / SECOND + " s");
+    }
+
     /** On a full site the jobs that can be in time together are, instead of all being late together. */
     @ParameterizedTest
     @ValueSource(longs = {81, 82, 83})
