Tie the claim of an acceptance to the owner's term

Found by reading: a former owner that was deposed without knowing could get a submission on record and start its tasks, while its successor took the same job for untouched. The acceptance now names the term that it claims for and is guarded by the leader's stamp; a deposed owner's acceptance fails and is made anew.

--- a/src/main/java/org/granitepath/bookkeeping/JobRecord.java
+++ b/src/main/java/org/granitepath/bookkeeping/JobRecord.java
@@ -5,20 +5,21 @@
 
 /**
  * An accepted job: its description, the time of day when it was taken, and its first block of tasks, which this very
- * write claims for the owner of the machines, if there is one. Written once.
+ * write claims for the owner of the machines, if there is one, by the baton of its term. Written once.
  */
-public record JobRecord(JobSpec spec, long acceptedMicros, int claimed) {
+public record JobRecord(JobSpec spec, long acceptedMicros, int claimed, long term) {
 
     public Map<String, Object> toMap() {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("spec", spec.toMap());
         m.put("at", acceptedMicros);
         m.put("claimed", claimed);
+        m.put("term", term);
         return m;
     }
 
     public static JobRecord fromMap(Map<String, Object> m) {
         return new JobRecord(JobSpec.fromMap(Fields.mapOf(m, "spec")), Fields.longOf(m, "at", 0),
-                Fields.intOf(m, "claimed", 0));
+                Fields.intOf(m, "claimed", 0), Fields.longOf(m, "term", 0));
     }
 }
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -629,10 +629,14 @@
     // ---- jobs --------------------------------------------------------------------------------------------------
 
     private void open(JobRecord record) {
+        if (record.term() > term.baton()) {
+            // Claimed for a successor of ours that we have not heard of yet.
+            return;
+        }
         ActiveJob job = new ActiveJob(record, book.progressOf(record.spec().id()), timers.nowMicros());
         jobs.put(record.spec().id(), job);
-        // What was accepted after the term began can't have been started by a predecessor.
-        if (inheritedLeft == 0 || mirror.stamp(Keys.JOB + job.spec.id()) > term.leaderStamp()) {
+        // What was claimed for us from the first can't have been started by a predecessor.
+        if (inheritedLeft == 0 || record.term() == term.baton()) {
             job.settleDoubt();
         }
         endIfDone(job);
@@ -649,7 +653,10 @@
     public void accepted(JobRecord record) {
         if (!jobs.containsKey(record.spec().id())) {
             open(record);
-            arrivals.accepted(jobs.get(record.spec().id()), timers.nowMicros());
+            ActiveJob job = jobs.get(record.spec().id());
+            if (job != null) {
+                arrivals.accepted(job, timers.nowMicros());
+            }
             scheduleSoon();
         }
     }
--- a/src/main/java/org/granitepath/coordination/UserDesk.java
+++ b/src/main/java/org/granitepath/coordination/UserDesk.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.granitepath.bookkeeping.Fields;
 import org.granitepath.bookkeeping.JobRecord;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Keys;
@@ -14,6 +15,7 @@
 import org.granitepath.bookkeeping.ProgressRecord;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.StatePort.Guard;
 import org.granitepath.bookkeeping.Timers;
 import org.granitepath.coordination.UserAnswer.JobState;
 
@@ -49,8 +51,9 @@
         this.book = book;
         this.timers = timers;
         this.types = types;
-        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.5, List::of,
-                () -> true);
+        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.5,
+                // An acceptance claims tasks for the owner that we know of: it must be the owner still.
+                () -> List.of(new Guard(Keys.LEADER, mirror.stamp(Keys.LEADER))), () -> true);
     }
 
     // ---- submissions -------------------------------------------------------------------------------------------
@@ -90,12 +93,17 @@
                 return List.of();
             }
             return submitting.containsKey(spec.id())
-                    ? List.of(Change.write(key, new JobRecord(spec, timers.timeOfDayMicros(),
-                            mirror.value(Keys.LEADER) == null ? 0 : config.tuning().firstBlock(spec)).toMap()))
-                    : List.of();
+                    ? List.of(Change.write(key, accepted(spec).toMap())) : List.of();
         }, epoch -> resolve(submitting, spec.id(), status(spec.id(), true)));
     }
 
+    private JobRecord accepted(JobSpec spec) {
+        Map<String, Object> owner = mirror.value(Keys.LEADER);
+        return owner == null ? new JobRecord(spec, timers.timeOfDayMicros(), 0, 0)
+                : new JobRecord(spec, timers.timeOfDayMicros(), config.tuning().firstBlock(spec),
+                Fields.longOf(owner, "baton", 0));
+    }
+
     /** Why a job can never run, or null. */
     private String impossible(JobSpec spec) {
         Config.Team team = config.teams().get(spec.team());
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.protocol.Json;
 
@@ -41,6 +42,8 @@
     private long epoch;
     private long leases;
     int oversized;
+    /** Acceptances that would hold whoever the owner is by then. */
+    int unfenced;
     /** Requests to read, long polls included. */
     int reads;
 
@@ -130,6 +133,10 @@
         if (txn.changes().size() > txnOps) {
             oversized++;
         }
+        if (txn.changes().stream().anyMatch(c -> c.key().startsWith(Keys.JOB))
+                && txn.guards().stream().noneMatch(g -> g.key().equals(Keys.LEADER))) {
+            unfenced++;
+        }
         List<String> failed = new ArrayList<>();
         for (StatePort.Guard g : txn.guards()) {
             Stored s = keys.get(g.key());
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -315,6 +315,19 @@
         });
     }
 
+    /** The same at one controller alone, until it accepts. */
+    void submitAt(String node, JobSpec spec) {
+        jobs.put(spec.id(), spec);
+        rules.submitting(spec);
+        askAt(node, spec.id(), (c, then) -> c.submit(spec, then), answer -> {
+            if (answer instanceof UserAnswer.Status) {
+                poll(spec.id());
+            } else {
+                world.after(300_000, () -> submitAt(node, spec));
+            }
+        });
+    }
+
     private void poll(String id) {
         world.after(5 * SECOND, () -> ask(id, (c, then) -> c.poll(id, then), answer -> {
             poll(id);
@@ -340,11 +353,14 @@
     private final Map<String, Integer> asking = new LinkedHashMap<>();
 
     private void ask(String id, Question question, Consumer<UserAnswer> then) {
-        String node = anyNode();
+        askAt(anyNode(), id, question, then);
+    }
+
+    private void askAt(String node, String id, Question question, Consumer<UserAnswer> then) {
         String user = "user-" + id;
         // Answers are compared only when the question was put after the earlier answer: so one question at a time.
         if (asking.getOrDefault(id, 0) > 0) {
-            world.after(200_000, () -> ask(id, question, then));
+            world.after(200_000, () -> askAt(node, id, question, then));
             return;
         }
         asking.put(id, 1);
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -24,6 +24,7 @@
         assertEquals(List.of(), s.rules.broken.stream().distinct().limit(5).toList());
         assertTrue(s.rules.starts > 0, "nothing ran");
         assertEquals(0, s.state.oversized, "a transaction or a value over its limit");
+        assertEquals(0, s.state.unfenced, "a claim that is not tied to an owner's term");
     }
 
     private static Simulation withJobs(long seed, int jobs, long overMicros) {
@@ -258,6 +259,32 @@
         assertEquals(List.of(), s.unfinishedBatches());
     }
 
+    /**
+     * An owner that was deposed without knowing gets a submission on record before it learns of its successor, which
+     * reaches only half of the machines yet: what the acceptance claims is the successor's alone.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {35, 36, 37, 38})
+    void deposedOwnerAcceptsAJob(long seed) {
+        Simulation s = withJobs(seed, 10, 30 * SECOND);
+        s.world.after(40 * SECOND, () -> {
+            String former = s.owner();
+            s.cut(former, SimState.NAME, World.Cut.HOLD, 4 * SECOND);
+            List<SimWorker> all = s.cloud.workers();
+            for (int i = 0; i < all.size(); i += 2) {
+                String host = all.get(i).id;
+                s.names.stream().filter(n -> !n.equals(former)).forEach(n -> s.cut(n, host, World.Cut.DROP, 8 * SECOND));
+            }
+            for (int i = 0; i < 12; i++) {
+                s.world.after(3_800_000 + i * 30_000, () -> s.submitAt(former, s.job(false, 5, Rank.STANDARD, "free", false,
+                        false, false, 20 * SECOND, 0)));
+            }
+        });
+        s.run(60 * SECOND, 300 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
     /** An owner that alone has lost the machines hands them over before their leases run out. */
     @ParameterizedTest
     @ValueSource(longs = {41, 42, 43})
@@ -305,7 +332,7 @@
         assertEquals(List.of(), s.unfinishedBatches());
     }
 
-    /** Back within a fraction of a second, owner and others, at any moment of an election. */
+    /** Back within a fraction of a second: controllers, at any moment of an election, and machines. */
     @ParameterizedTest
     @ValueSource(longs = {51, 52, 53, 54, 55})
     void backWithinAFractionOfASecond(long seed) {
@@ -315,6 +342,13 @@
             boolean owner = i % 3 > 0;
             s.world.after(20 * SECOND + i * 2 * SECOND + s.world.random.nextInt(2_000_000),
                     () -> s.crash(owner ? s.owner() : s.anyNode(), 20_000 + s.world.random.nextInt(400_000)));
+            s.world.after(21 * SECOND + i * 2 * SECOND, () -> {
+                SimWorker w = s.anyWorker();
+                if (w != null) {
+                    w.hang(true);
+                    s.world.after(100_000 + s.world.random.nextInt(800_000), () -> w.hang(false));
+                }
+            });
         }
         s.run(110 * SECOND, 330 * SECOND);
         assertRules(s);
