--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -27,6 +27,12 @@
         assertEquals(0, s.state.unfenced, "a claim that is not tied to an owner's term");
     }
 
+    /** Work must go on once the troubles are over. */
+    private static void assertRulesAndAllDone(Simulation s) {
+        assertRules(s);
+        assertEquals(List.of(), s.unfinishedBatches());
+    }
+
     private static Simulation withJobs(long seed, int jobs, long overMicros) {
         Simulation s = new Simulation(seed);
         for (int i = 0; i < jobs; i++) {
@@ -49,8 +55,7 @@
     void quietDayFinishesItsWork() {
         Simulation s = withJobs(1, 25, 90 * SECOND);
         s.run(240 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
         assertTrue(s.doneTold > 5);
     }
 
@@ -145,8 +150,7 @@
                     () -> s.crash(s.owner(), 500_000 + s.world.random.nextInt(3_000_000)));
         }
         s.run(300 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /**
@@ -173,8 +177,7 @@
             }
         });
         s.run(200 * SECOND, 700 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
         assertFalse(cut[0].alive(), "it is to be returned");
         int slots = (int) (cut[0].type.cpuMillis() / 2_000);
         int filled = s.startsAskedOf(cut[0]) - before[0];
@@ -203,8 +206,7 @@
             assertTrue(filled <= 2 * slots, "filled again and again: " + filled + " starts on " + slots + " places");
         }
         s.run(130 * SECOND, 700 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /** A report of a machine that is gone arrives once more, much later: nothing is placed on the ghost. */
@@ -240,8 +242,7 @@
             s.world.after((32 + 25 * i) * SECOND, () -> machineTrouble(s, World.Cut.HOLD, 15 * SECOND));
         }
         s.run(180 * SECOND, 420 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /** A cancellation told elsewhere while the owner sees neither the state service nor its peers, only its workers. */
@@ -255,8 +256,7 @@
         s.world.after(32 * SECOND, () -> s.cutFromPeersAndState(s.owner(), seed % 2 == 0 ? World.Cut.HOLD
                 : World.Cut.DROP, 70 * SECOND));
         s.run(110 * SECOND, 300 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /**
@@ -281,8 +281,7 @@
             }
         });
         s.run(60 * SECOND, 300 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /** An owner that alone has lost the machines hands them over before their leases run out. */
@@ -298,8 +297,7 @@
         s.run(50 * SECOND + Simulation.LEASE);
         assertNotEquals(cut[0], s.owner(), "the owner that reaches no machine is still the owner");
         s.run(120 * SECOND, 300 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /**
@@ -328,8 +326,7 @@
         healthy.removeAll(cut);
         assertEquals(List.of(), healthy, "returned with tasks on them");
         s.run(100 * SECOND, 500 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /** Back within a fraction of a second: controllers, at any moment of an election, and machines. */
@@ -351,8 +348,7 @@
             });
         }
         s.run(110 * SECOND, 330 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
     }
 
     /**
@@ -380,8 +376,7 @@
         s.world.after(85 * SECOND, () -> s.state.setOutage(false));
         s.run(100 * SECOND, 300 * SECOND);
         assertTrue(most[0] > 150, "only " + most[0] + " machines");
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
         s.rules.checkServed();
         assertRules(s);
     }
@@ -464,8 +459,7 @@
             s.world.after(30 * SECOND + 6 * i * SECOND, () -> s.submit(j, -1));
         }
         s.run(700 * SECOND);
-        assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertRulesAndAllDone(s);
         long inTime = jobs.stream().filter(j -> s.rules.finishedAfter(j.id()) <= j.deadlineMicros()).count();
         assertTrue(inTime >= 4, inTime + " of " + jobs.size() + " in time");
     }
