Bound sockets, give up connection attempts, check the phase of ownership against time passed

A zone that is cut off would use up a controller's sockets. - Nothing read facts.resources.max_connections; a fleet half as large again has more machines than the owner has sockets. Beyond 60% of them connections of machines close after the answer, beyond 80% all do; silent ones close after 40 s. - An owner that stood still answered the reports that had waited in the phase from before its pause: tasks of a job that a peer had called cancelled outlived cancel_s (ownerStandsStillAndWakes). - Its own pause counted as the silence of machines. Calls to machines at once follow the bound on sockets, so that machines that hang don't hold up the others.

--- a/src/main/java/org/granitepath/cli/ServeCommand.java
+++ b/src/main/java/org/granitepath/cli/ServeCommand.java
@@ -28,7 +28,7 @@
         HttpCalls http = new HttpCalls(loop);
         Controller controller = new Controller(s.config(), new StateClient(http, s.state()),
                 new CloudClient(http, s.cloud()), new WorkerClient(http), new PeerClient(http, s.peerAddresses()), loop);
-        ServiceServer.listen(controller, loop, s.listen().host(), s.listen().port(), s.peerListen().host(),
+        ServiceServer.listen(controller, s.config(), loop, s.listen().host(), s.listen().port(), s.peerListen().host(),
                 s.peerListen().port());
         loop.run(controller::start);
         log.info("{} serves on {}:{}", s.config().node(), s.listen().host(), s.listen().port());
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -19,6 +19,10 @@
 public record Settings(Config config, Address listen, Address peerListen, Map<String, String> peerAddresses,
                        String cloud, String state) {
 
+    private static final int DEFAULT_CONNECTIONS = 1_000;
+    /** Fewer leave no room for the state service, the cloud, the other controllers and a few machines and users. */
+    private static final int LEAST_CONNECTIONS = 64;
+
     public record Address(String host, int port) {}
 
     /** A setting that can't be used, in words for the operator. */
@@ -78,6 +82,8 @@
                 number(toml, "facts.state.write_rps", 0.1), (int) (number(toml, "facts.state.value_kb", 0.5) * 1024),
                 (int) number(toml, "facts.state.txn_ops", 4), number(toml, "facts.cloud.rps", 0.01),
                 micros(toml, "facts.cloud.list_lag_s"), Math.round(number(toml, "facts.skew_ms", 0) * 1000),
+                toml.get("facts.resources.max_connections") == null ? DEFAULT_CONNECTIONS
+                        : (int) number(toml, "facts.resources.max_connections", LEAST_CONNECTIONS),
                 tuning(tuningFile));
         return new Settings(config, address(text(toml, "serve_on"), "serve_on"), address(text(toml, "back"), "back"),
                 peers, addressText(toml, "services.cloud"), addressText(toml, "services.state"));
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -189,7 +189,7 @@
     }
 
     private void rent(long now) {
-        if (renting) {
+        if (renting || !leadership.certain()) {
             return;
         }
         dispatcher.outlook().look(now);
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -8,7 +8,7 @@
 public record Config(String node, String incarnation, List<String> peers, List<String> zones, Map<String, Team> teams,
                      Map<String, Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
                      double stateRequests, double stateWrites, int valueBytes, int txnOps, double cloudRequests,
-                     long listLagMicros, long skewMicros, Tuning tuning) {
+                     long listLagMicros, long skewMicros, int maxConnections, Tuning tuning) {
 
     /** Limits in thousandths; 0: none. */
     public record Team(String name, long cpuGuarantee, long cpuLimit, long gpuGuarantee, long gpuLimit) {}
@@ -53,6 +53,16 @@
         }
     }
 
+    /** Direct calls to machines under way at once, so that some that hang don't hold up the rest of a large fleet. */
+    public int callsAtOnce() {
+        return Math.max(8, maxConnections / 10);
+    }
+
+    /** Connections of machines that stay open between reports; the rest is for users, peers and our own calls. */
+    public int machineConnections() {
+        return Math.max(8, maxConnections * 6 / 10);
+    }
+
     /** A margin on everything timed by another machine's clock. */
     public static final long MARGIN_MICROS = 1_500_000;
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -34,13 +34,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Dispatcher.class);
     private static final long ATTEMPTS_PER_TERM = 1L << 24;
     private static final long TICK_MICROS = 500_000;
+    /** A tick that comes later than this after the last one: we stood still, or fell far behind. */
+    private static final long PAUSE_MICROS = 1_000_000;
     private static final long PASS_DELAY_MICROS = 2_000;
     /** The next pass comes no sooner than this many times as long as the last one took. */
     private static final int PASS_SPACING = 4;
     private static final long LONGEST_PASS_SPACING_MICROS = 250_000;
-    private static final int TAKEOVER_CALLS_AT_ONCE = 32;
     private static final long ASK_AGAIN_MICROS = 300_000;
-    private static final int CALLS_AT_ONCE = 48;
     private static final double OVERDUE_REPORTS = 1.5;
     private static final long NEWS_MICROS = 1_000_000;
     private static final int DEPARTED_REMEMBERED = 4096;
@@ -79,6 +79,7 @@
         }
     };
     private final long startedMicros;
+    private long tickedMicros;
     private boolean ended;
     private int inheritedLeft;
     private long attempts;
@@ -102,6 +103,7 @@
         this.scheduler = new Scheduler(config, this, machines.values(), timers, outlook);
         this.consolidator = new Consolidator(this, machines.values());
         this.startedMicros = timers.nowMicros();
+        this.tickedMicros = startedMicros;
         this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.65,
                 () -> List.of(new Guard(Keys.LEADER, term.leaderStamp())), () -> !ended);
         this.rosters = new Rosters(config, term, mirror, ledger, machines, this::raised, this::scheduleSoon);
@@ -201,7 +203,7 @@
 
     /** Speeds a takeover up: calls the machines not yet heard, a few at a time, and shows them the new baton. */
     private void askInherited() {
-        while (!ended && !unheard.isEmpty() && takeoverCalls < TAKEOVER_CALLS_AT_ONCE) {
+        while (!ended && !unheard.isEmpty() && takeoverCalls < config.callsAtOnce() * 2 / 3) {
             Machine m = unheard.poll();
             if (!m.inherited || m.phase != Machine.Phase.UNCONFIRMED) {
                 continue;
@@ -236,9 +238,9 @@
         showBaton(m);
     }
 
-    /** Shows the worker its present baton by a call without orders, unless a call is under way. */
+    /** Shows the worker its present baton by a call without orders; when too many are under way, a later tick does. */
     private void showBaton(Machine m) {
-        if (!m.callUnderWay && m.session >= 0) {
+        if (!m.callUnderWay && m.session >= 0 && calls < config.callsAtOnce()) {
             callWorker(m, List.of(), List.of(), () -> { });
         }
     }
@@ -570,9 +572,12 @@
 
     /** Orders to machines that are quiet would only time out; should one report after all, its answer holds them. */
     private void sendOrders() {
+        if (!leadership.answersWorkers()) {
+            return; // we may long have a successor that we don't know of
+        }
         long now = timers.nowMicros();
         for (Machine m : List.copyOf(ordersDue)) {
-            if (calls >= CALLS_AT_ONCE) {
+            if (calls >= config.callsAtOnce()) {
                 return;
             }
             if (!m.callUnderWay && m.session >= 0 && !m.quiet(now, config.reportMicros())) {
@@ -820,7 +825,7 @@
     /** A report is overdue: whether the machine can be reached at all is soon known. */
     private void probe(Machine m, long now) {
         if (now - m.heardMicros > OVERDUE_REPORTS * config.reportMicros() && !m.inherited && !m.callUnderWay
-                && now - m.probedMicros > config.reportMicros() && calls < CALLS_AT_ONCE) {
+                && now - m.probedMicros > config.reportMicros() && calls < config.callsAtOnce()) {
             callWorker(m, List.of(), List.of(), () -> { });
         }
     }
@@ -831,6 +836,14 @@
         }
         timers.after(TICK_MICROS, this::tick);
         long now = timers.nowMicros();
+        long pause = now - tickedMicros - TICK_MICROS;
+        tickedMicros = now;
+        if (pause > PAUSE_MICROS) {
+            LOG.info("we stood still for {} s: nobody is silent for that", pause / 1_000_000);
+            for (Machine m : machines.values()) {
+                m.heardMicros = Math.min(now, m.heardMicros + pause);
+            }
+        }
         for (Machine m : List.copyOf(machines.values())) {
             // A lease that ran out proves something only if we were the owner all along: a successor that we don't
             // know of may be answering this worker. So the state service must have confirmed us after the end.
@@ -841,7 +854,7 @@
             probe(m, now);
             boolean quiet = m.quiet(now, config.reportMicros());
             if (m.phase == Machine.Phase.UNCONFIRMED && !m.inherited && m.rostered && !m.wantsNewBaton && !quiet
-                    && calls < CALLS_AT_ONCE) {
+                    && calls < config.callsAtOnce()) {
                 showBaton(m);
             }
             for (Placement p : quiet ? List.copyOf(m.placements.values()) : m.placements.values()) {
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -72,11 +72,13 @@
 
     /** Whether workers may be answered: we lead, and could not have missed a cancellation for too long. */
     boolean answersWorkers() {
+        reckon();
         return phase == Phase.LEADING || phase == Phase.HOLDING;
     }
 
     /** Whether the state service confirmed lately that we lead. */
     boolean certain() {
+        reckon();
         return phase == Phase.LEADING;
     }
 
@@ -122,7 +124,15 @@
         if (now >= touchDueMicros && !touching) {
             touch();
         }
-        long sinceContact = now - confirmedMicros;
+        reckon();
+    }
+
+    /**
+     * Checks the phase against the time that has passed. A process that stood still goes on with whatever came first,
+     * a report that waited or a timer, in the phase from before its pause, while a successor may hold the machines.
+     */
+    private void reckon() {
+        long sinceContact = timers.nowMicros() - confirmedMicros;
         if (phase == Phase.LEADING && sinceContact > config.tuning().leaderLeaseMicros()) {
             transition(Phase.HOLDING, "no answer from the state service");
         }
--- a/src/main/java/org/granitepath/transport/HttpCalls.java
+++ b/src/main/java/org/granitepath/transport/HttpCalls.java
@@ -15,9 +15,11 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 
 /** Outgoing HTTP requests, one at a time on a connection; each ends with an answer or, in time, without one. */
@@ -36,10 +38,12 @@
     }
 
     private final EventLoop loop;
+    private final Connector connector;
     private final Map<String, ArrayDeque<ClientConnection>> idle = new HashMap<>();
 
     public HttpCalls(EventLoop loop) {
         this.loop = loop;
+        this.connector = new Connector(loop.thread());
     }
 
     /** @param keep whether the connection is kept for later requests to the same address */
@@ -63,6 +67,7 @@
         private final String type;
         private final boolean keep;
         private final BytesReply reply;
+        private IoFuture<StreamConnection> connecting;
         private ClientConnection connection;
         private XnioExecutor.Key timer;
         private boolean over;
@@ -103,8 +108,9 @@
                 public void failed(IOException e) {
                     fail(String.valueOf(e.getMessage()));
                 }
-            }, URI.create("http://" + address), loop.thread(), loop.buffers(),
+            }, URI.create("http://" + address), connector, loop.buffers(),
                     OptionMap.create(Options.TCP_NODELAY, true));
+            connecting = connector.latest();
         }
 
         private void send(ClientConnection c) {
@@ -182,6 +188,9 @@
             timer.remove();
             LOG.debug("{} {}{}: {}", method, address, path, why);
             IoUtils.safeClose(connection);
+            if (connecting != null) {
+                connecting.cancel();
+            }
             EventLoop.guarded(() -> reply.done(0, null)).run();
         }
     }
--- a/src/main/java/org/granitepath/transport/Metrics.java
+++ b/src/main/java/org/granitepath/transport/Metrics.java
@@ -16,8 +16,13 @@
 
     private final Map<String, Histogram> latencies = new TreeMap<>();
     private final Object2LongOpenHashMap<String> answers = new Object2LongOpenHashMap<>();
+    private Connections connections;
     private SimpleMeterRegistry registry;
 
+    void watch(Connections held) {
+        connections = held;
+    }
+
     void served(String what, int status, long micros) {
         latencies.computeIfAbsent(what, k -> new Histogram(LONGEST_MICROS, 2))
                 .recordValue(Math.max(0, Math.min(micros, LONGEST_MICROS)));
@@ -28,6 +33,10 @@
     String text() {
         if (registry == null) {
             registry = new SimpleMeterRegistry();
+            Gauge.builder("granitepath.connections", connections, Connections::machines).tags("of", "machines")
+                    .register(registry);
+            Gauge.builder("granitepath.connections", connections, Connections::others).tags("of", "others")
+                    .register(registry);
         }
         for (Map.Entry<String, Histogram> e : latencies.entrySet()) {
             for (double q : QUANTILES) {
--- a/src/main/java/org/granitepath/transport/ServiceServer.java
+++ b/src/main/java/org/granitepath/transport/ServiceServer.java
@@ -9,34 +9,45 @@
 import java.nio.charset.StandardCharsets;
 import org.granitepath.coordination.Beat;
 import org.granitepath.coordination.BeatAnswer;
+import org.granitepath.coordination.Config;
 import org.granitepath.coordination.Controller;
 import org.granitepath.coordination.UserAnswer;
 import org.granitepath.protocol.Json;
 import org.granitepath.protocol.SubmissionCodec;
 import org.granitepath.protocol.WorkerCodec;
+import org.xnio.Options;
 
 /** What users, workers and health checks talk to. */
 public final class ServiceServer {
     private static final int MOST_BODY_BYTES = 64 * 1024;
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
+    /** A machine that is gone closes nothing: what is silent for longer than any lease or poll is closed from here. */
+    private static final int IDLE_TIMEOUT_MILLIS = 40_000;
+    /** A whole fleet may come to a new owner at once. */
+    private static final int BACKLOG = 2_048;
+    private static final String REPORTS = "/agent/beat";
     private static final String JOBS = "/submissions";
     private static final String CANCEL = "/cancel";
 
     private final Controller controller;
     private final Metrics metrics;
     private final EventLoop loop;
+    private final Connections connections;
 
-    private ServiceServer(Controller controller, Metrics metrics, EventLoop loop) {
+    private ServiceServer(Controller controller, Metrics metrics, EventLoop loop, Connections connections) {
         this.controller = controller;
         this.metrics = metrics;
         this.loop = loop;
+        this.connections = connections;
     }
 
     /** Begins to listen; requests are handled on the event loop. */
-    public static void listen(Controller controller, EventLoop loop, String host, int port, String backHost,
-                              int backPort) {
+    public static void listen(Controller controller, Config config, EventLoop loop, String host, int port,
+                              String backHost, int backPort) {
         Metrics metrics = new Metrics();
-        ServiceServer service = new ServiceServer(controller, metrics, loop);
+        Connections connections = new Connections(config.machineConnections(), config.maxConnections());
+        metrics.watch(connections);
+        ServiceServer service = new ServiceServer(controller, metrics, loop, connections);
         new BackServer(controller, metrics).listen(loop, backHost, backPort);
         builder(loop, host, port).setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
                 EventLoop.guarded(() -> service.route(exchange)))).build().start();
@@ -48,6 +59,8 @@
                 .setByteBufferPool(loop.buffers())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_BODY_BYTES)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                .setSocketOption(Options.BACKLOG, BACKLOG)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
                 .addHttpListener(port, host);
@@ -57,7 +70,8 @@
         String path = exchange.getRequestPath();
         boolean post = exchange.getRequestMethod().equals(Methods.POST);
         boolean get = exchange.getRequestMethod().equals(Methods.GET);
-        if (path.equals("/agent/beat") && post) {
+        connections.requested(exchange, path.equals(REPORTS));
+        if (path.equals(REPORTS) && post) {
             body(exchange, text -> beat(exchange, text));
         } else if (path.equals("/up") && get) {
             boolean up = controller.healthy();
@@ -108,6 +122,9 @@
             return;
         }
         BeatAnswer answer = controller.beat(beat);
+        if (!(answer instanceof BeatAnswer.Accepted)) {
+            exchange.setPersistent(false); // it goes elsewhere
+        }
         reply(exchange, WorkerCodec.httpStatus(answer), WorkerCodec.encode(answer));
     }
 
--- a/src/test/java/org/granitepath/cli/MainTest.java
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -64,6 +64,9 @@
         Path bad = file("b.toml", GOOD.replace("lease_s = 10.0", "lease_s = \"ten\""));
         Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(bad, null));
         assertTrue(e.getMessage().contains("facts.workers.lease_s"), e.getMessage());
+        Path sockets = file("s.toml", GOOD + "[facts.resources]\nmax_connections = 0\n");
+        e = assertThrows(Settings.Invalid.class, () -> Settings.read(sockets, null));
+        assertTrue(e.getMessage().contains("facts.resources.max_connections"), e.getMessage());
         Path tuning = file("t.yaml", "idle-shar: 2\n");
         e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), tuning));
         assertTrue(e.getMessage().contains("idle-shar"), e.getMessage());
--- a/src/test/java/org/granitepath/cli/ServeHttpTest.java
+++ b/src/test/java/org/granitepath/cli/ServeHttpTest.java
@@ -3,14 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -18,13 +24,15 @@
 /** The real server on loopback, with neither state service nor cloud to be reached: it must answer all the same. */
 class ServeHttpTest {
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static final int MOST = 64;
     private static int port;
 
     @BeforeAll
     static void serve(@TempDir Path dir) throws Exception {
         port = freePort();
         Path file = Files.writeString(dir.resolve("n.toml"), MainTest.GOOD.replace("127.0.0.1:1\"",
-                "127.0.0.1:" + port + "\"").replace("127.0.0.1:2\"", "127.0.0.1:" + freePort() + "\""));
+                "127.0.0.1:" + port + "\"").replace("127.0.0.1:2\"", "127.0.0.1:" + freePort() + "\"")
+                + "[facts.resources]\nmax_connections = " + MOST + "\n");
         ServeCommand.start(Settings.read(file, null));
     }
 
@@ -62,6 +70,29 @@
         assertEquals(405, ask("POST", "/submissions/run-000001", "").statusCode());
     }
 
+    /** Beyond a bound connections close after the answer, so that whoever comes next finds a socket. */
+    @Test
+    void idleConnectionsLeaveSocketsFree() throws Exception {
+        List<Socket> open = new ArrayList<>();
+        int kept = 0;
+        for (int i = 0; i < 2 * MOST; i++) {
+            Socket s = new Socket("127.0.0.1", port);
+            open.add(s);
+            s.setSoTimeout(5_000);
+            s.getOutputStream().write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+            boolean closes = false;
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                closes |= line.equalsIgnoreCase("Connection: close");
+            }
+            kept += closes ? 0 : 1;
+        }
+        assertTrue(kept > MOST / 2 && kept < MOST * 0.9, kept + " connections kept");
+        for (Socket s : open) {
+            s.close();
+        }
+    }
+
     @Test
     void workersAreSentElsewhereWhileNoOwnerIsKnown() throws Exception {
         assertEquals(503, ask("POST", "/agent/beat", "{\"host\":\"i-1\",\"address\":\"127.0.0.1:1\",\"model\":\"m\","
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -51,8 +51,9 @@
             world.setDown(name, false);
             int ours = life;
             Config config = new Config(name, name + "-" + life, names.stream().filter(n -> !n.equals(name)).toList(),
-                    ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1, 0)), REPORT, LEASE, CANCEL,
-                    1000, 200, 2048, 8, 5, 4 * SECOND, 250_000, Config.Tuning.defaults());
+                    ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1, 0)), shape.report, shape.lease,
+                    shape.cancel, shape.requests, shape.writes, shape.valueBytes, shape.txnOps, 5, 4 * SECOND, 250_000,
+                    shape.connections, Config.Tuning.defaults());
             controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name),
                     new Timers() {
                 @Override
@@ -67,11 +68,12 @@
 
                 @Override
                 public void after(long delayMicros, Runnable action) {
-                    world.after((long) (Math.max(0, delayMicros) / drift) + world.random.nextInt(2_000), () -> {
-                        if (life == ours && controller != null) {
-                            action.run();
-                        }
-                    });
+                    world.after((long) (Math.max(0, delayMicros) / drift) + world.random.nextInt(2_000),
+                            () -> world.fire(name, () -> {
+                                if (life == ours && controller != null) {
+                                    action.run();
+                                }
+                            }));
                 }
             });
             controller.start();
@@ -99,9 +101,23 @@
         }
     }
 
-    static final long REPORT = SECOND;
     static final long LEASE = 11 * SECOND;
-    static final long CANCEL = 31 * SECOND;
+
+    /**
+     * A deployment: its controllers, how many machines of each type, zone and kind there are, the workers' times, and
+     * the limits of the state service.
+     */
+    record Shape(int controllers, int perOffer, long report, long lease, long cancel, double requests, double writes,
+                 int valueBytes, int txnOps, int connections) {
+        static final Shape SMALL = new Shape(3, 5, SECOND, LEASE, 31 * SECOND, 1000, 200, 2048, 8, 1_000);
+
+        Shape with(int controllers, int perOffer) {
+            return new Shape(controllers, perOffer, report, lease, cancel, requests, writes, valueBytes, txnOps,
+                    connections);
+        }
+    }
+
+    final Shape shape;
 
     final List<String> names;
     final World world;
@@ -116,19 +132,24 @@
     int doneTold;
 
     Simulation(long seed) {
-        this(seed, 3, 5);
+        this(seed, Shape.SMALL);
     }
 
     /** @param perOffer how many machines of each type, zone and kind there are */
     Simulation(long seed, int controllers, int perOffer) {
-        names = IntStream.range(0, controllers).mapToObj(i -> "n" + i).toList();
+        this(seed, Shape.SMALL.with(controllers, perOffer));
+    }
+
+    Simulation(long seed, Shape shape) {
+        this.shape = shape;
+        names = IntStream.range(0, shape.controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
-        rules = new Rules(world, TEAMS, CANCEL);
-        state = new SimState(world, 8, 2048);
+        rules = new Rules(world, TEAMS, shape.cancel);
+        state = new SimState(world, shape.txnOps, shape.valueBytes);
         List<MachineType> types = List.of(
                 new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
                 new MachineType("large", 16_000, 0, 64_000, 1.0, 1.0, 0.3, 5 * SECOND, ZONES));
-        cloud = new SimCloud(world, types, perOffer, 4 * SECOND, (id, h) -> new SimWorker(world, rules,
+        cloud = new SimCloud(world, types, shape.perOffer, 4 * SECOND, (id, h) -> new SimWorker(world, rules,
                 new SimWorker.Controllers() {
                     @Override
                     public List<String> names() {
@@ -145,7 +166,7 @@
                         return answer;
                     }
                 }, jobs::get, results, id, types.stream().filter(t -> t.name().equals(h.type())).findFirst()
-                .orElseThrow(), h.zone(), h.spot(), REPORT, LEASE));
+                .orElseThrow(), h.zone(), h.spot(), shape.report, shape.lease));
         for (String n : names) {
             nodes.put(n, new Node(n));
         }
@@ -216,6 +237,12 @@
         }
     }
 
+    /** A controller stands still while its clocks run on. */
+    void freeze(String node, long forMicros) {
+        world.freeze(node);
+        world.after(forMicros, () -> world.thaw(node));
+    }
+
     void cut(String a, String b, World.Cut how, long forMicros) {
         world.cut(a, b, how);
         world.after(forMicros, () -> world.heal(a, b));
@@ -338,8 +365,13 @@
     }
 
     void cancel(String id) {
+        cancelAt(anyNode(), id);
+    }
+
+    /** The same at one controller first. */
+    void cancelAt(String node, String id) {
         rules.cancelling(id);
-        ask(id, (c, then) -> c.cancel(id, then), answer -> {
+        askAt(node, id, (c, then) -> c.cancel(id, then), answer -> {
             if (!(answer instanceof UserAnswer.Status)) {
                 world.after(2 * SECOND, () -> cancel(id));
             }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -284,6 +284,50 @@
         assertRulesAndAllDone(s);
     }
 
+    /**
+     * An owner stands still while its clocks run on, longer than it may hold its machines without word from the state
+     * service, but not as long as a lease, and is cut off as well. On waking it finds reports that have waited, of
+     * machines that reach nobody else: to answer them would keep tasks of a job alive that another controller has called cancelled.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102, 103})
+    void ownerStandsStillAndWakes(long seed) {
+        Simulation s = new Simulation(seed, new Simulation.Shape(2, 5, 2 * SECOND, 27 * SECOND, 46 * SECOND, 1000, 200,
+                2048, 8, 1_000));
+        JobSpec[] services = new JobSpec[6];
+        for (int i = 0; i < services.length; i++) {
+            services[i] = s.job(true, 4, Rank.CRITICAL, "free", false, true, false, 0, 0);
+            s.submit(services[i], -1);
+            s.submit(s.job(false, 30, Rank.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
+        }
+        s.world.after(45 * SECOND, () -> {
+            String owner = s.owner();
+            String other = s.names.get(1 - s.names.indexOf(owner));
+            s.freeze(owner, 24 * SECOND);
+            s.cutFromPeersAndState(owner, World.Cut.DROP, 70 * SECOND);
+            s.cutFromWorkers(other, World.Cut.DROP, 70 * SECOND);
+            List.of(services).forEach(j -> s.cancelAt(other, j.id()));
+        });
+        s.run(120 * SECOND, 400 * SECOND);
+        assertRulesAndAllDone(s);
+    }
+
+    /** A pause of the owner's own is not the silence of its few machines: none is given back for it. */
+    @ParameterizedTest
+    @ValueSource(longs = {105, 106})
+    void aPauseIsNotSilence(long seed) {
+        Simulation s = new Simulation(seed, new Simulation.Shape(3, 1, 5 * SECOND, 11 * SECOND, 31 * SECOND, 1000, 200,
+                2048, 8, 1_000));
+        s.submit(s.job(true, 2, Rank.CRITICAL, "free", false, true, false, 0, 0), -1);
+        // In an outage no successor is found, and the owner is the owner still when all goes on.
+        s.world.after(60 * SECOND, () -> s.state.setOutage(true));
+        s.world.after(61 * SECOND, () -> s.freeze(s.owner(), 12 * SECOND));
+        s.world.after(72_900_000, () -> s.state.setOutage(false));
+        s.run(85 * SECOND, 200 * SECOND);
+        assertRules(s);
+        assertEquals(List.of(), s.cloud.returnedBusy, "returned with tasks on them");
+    }
+
     /** An owner that alone has lost the machines hands them over before their leases run out. */
     @ParameterizedTest
     @ValueSource(longs = {41, 42, 43})
--- a/src/test/java/org/granitepath/simulation/World.java
+++ b/src/test/java/org/granitepath/simulation/World.java
@@ -25,6 +25,9 @@
     private final Map<String, ArrayDeque<Runnable>> held = new HashMap<>();
     private final Map<String, Long> lastArrival = new HashMap<>();
     private final Set<String> down = new HashSet<>();
+    /** Hosts that stand still while their clocks run on, each with the packets and the timers that wait. */
+    private final Map<String, ArrayDeque<Runnable>> frozenPackets = new HashMap<>();
+    private final Map<String, ArrayDeque<Runnable>> frozenTimers = new HashMap<>();
     /** Share of requests of which a copy arrives once more, much later. */
     double lateCopies;
     private long now;
@@ -72,8 +75,9 @@
             cuts.remove(l);
             ArrayDeque<Runnable> queue = held.remove(l);
             if (queue != null) {
+                String to = l.substring(l.indexOf('>') + 1);
                 for (Runnable r : new ArrayList<>(queue)) {
-                    after(1_000 + random.nextInt(5_000), r);
+                    after(1_000 + random.nextInt(5_000), () -> arrive(to, r));
                 }
             }
         }
@@ -98,7 +102,39 @@
             return;
         }
         long delay = 300 + random.nextInt(4_000) + (random.nextInt(500) == 0 ? 400_000 : 0);
-        after(delay, arrive);
+        after(delay, () -> arrive(to, arrive));
+    }
+
+    private void arrive(String host, Runnable packet) {
+        if (frozenPackets.containsKey(host)) {
+            frozenPackets.get(host).add(packet);
+        } else {
+            packet.run();
+        }
+    }
+
+    /** A timer of a host: while it stands still, timers are due but do not fire. */
+    void fire(String host, Runnable timer) {
+        if (frozenTimers.containsKey(host)) {
+            frozenTimers.get(host).add(timer);
+        } else {
+            timer.run();
+        }
+    }
+
+    void freeze(String host) {
+        frozenPackets.putIfAbsent(host, new ArrayDeque<>());
+        frozenTimers.putIfAbsent(host, new ArrayDeque<>());
+    }
+
+    /** What has waited comes at once, packets first: no timer has told the host yet how late it is. */
+    void thaw(String host) {
+        ArrayDeque<Runnable> packets = frozenPackets.remove(host);
+        ArrayDeque<Runnable> timers = frozenTimers.remove(host);
+        if (packets != null) {
+            packets.forEach(p -> after(100, p));
+            timers.forEach(t -> after(200, t));
+        }
     }
 
     /** A request and its answer. {@code then} is told null when nothing came in time. */
@@ -118,11 +154,11 @@
         if (lateCopies > 0 && random.nextDouble() < lateCopies) {
             after(100_000 + random.nextInt(60_000_000), () -> serve.accept(ignored -> { }));
         }
-        after(timeout, () -> {
+        after(timeout, () -> fire(from, () -> {
             if (!over[0]) {
                 over[0] = true;
                 then.accept(null);
             }
-        });
+        }));
     }
 }
