New batons for upkeep are drawn for all together, and never for what runs

Rosters go first, so claims starved: 240 machines idle with 1,700 tasks waiting. Ruled out: the mass hang itself (the machines were back in 10 s), calls to machines (slots were free).

--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -388,7 +388,8 @@
         m.sequence = beat.sequence();
         if (isReport) {
             if (m.quiet(now, config.reportMicros())) {
-                m.unconfirmedMicros = now; // it could not show anything before
+                m.unconfirmedMicros = now; // it could neither show anything before nor be given work
+                m.idleSinceMicros = now;
             }
             // Answers to direct calls don't count: without reports the worker's lease runs out all the same.
             m.heardMicros = now;
@@ -399,6 +400,7 @@
         long leaseOver = now + leaseMicros();
         m.leaseOverMicros = current ? leaseOver : Math.max(m.leaseOverMicros, leaseOver);
         m.housekeeping.clear();
+        int uncleared = 0;
         Set<TaskId> listed = new HashSet<>();
         for (TaskReport r : beat.tasks()) {
             Placement p = m.placements.get(r.task());
@@ -411,8 +413,12 @@
             } else if (meetStranger(m, r, current, now)) {
                 listed.add(r.task());
             }
-            if (r.state() == TaskState.EXITED && mayForget(m, r)) {
-                m.housekeeping.add(Order.forget(r.task(), r.attempt()));
+            if (r.state() == TaskState.EXITED) {
+                if (mayForget(m, r)) {
+                    m.housekeeping.add(Order.forget(r.task(), r.attempt()));
+                } else {
+                    uncleared++;
+                }
             }
         }
         for (Placement p : List.copyOf(m.placements.values())) {
@@ -423,8 +429,9 @@
                 free(p, "not in report " + beat.session() + "." + beat.sequence() + " under baton " + beat.baton());
             }
         }
-        if (m.directAttempts.size() > UNCLEARED_ATTEMPTS) {
-            rosters.raise(m, "many exited attempts wait to be cleared");
+        // What runs is not counted: a machine with more tasks than this would want a new baton with every report.
+        if (uncleared > UNCLEARED_ATTEMPTS) {
+            rosters.raiseSome(m);
         }
         if (current && m.phase == Machine.Phase.UNCONFIRMED) {
             m.transition(Machine.Phase.READY, "heard under baton " + m.baton);
--- a/src/main/java/org/granitepath/coordination/Ledger.java
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -61,6 +61,10 @@
         this.tokensAtMicros = timers.nowMicros();
     }
 
+    double writesPerSecond() {
+        return writesPerSecond;
+    }
+
     /**
      * Asks for a write. A later wish under the same name replaces an earlier one, but never puts it off. An empty
      * content withdraws it.
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -36,6 +36,8 @@
     /** The value that holds its row on record. */
     int roster = -1;
     boolean wantsNewBaton;
+    /** The same, but only for upkeep, so it can wait. */
+    boolean wantsUpkeep;
     /** Taken over with its tasks unknown. */
     boolean inherited;
     long session = -1;
--- a/src/main/java/org/granitepath/coordination/Rosters.java
+++ b/src/main/java/org/granitepath/coordination/Rosters.java
@@ -22,7 +22,12 @@
     /** Larger values would only be read over and over by every controller. */
     private static final int MOST_VALUE_BYTES = 8 * 1024;
     private static final int MOST_TRANSACTION_BYTES = 48 * 1024;
-    private static final long GATHER_MICROS = 30_000;
+    private static final long LEAST_GATHER_MICROS = 30_000;
+    /** Share of the budget that rosters may take: their writes go first, and claims must not starve behind them. */
+    private static final double WRITE_SHARE = 0.3;
+    /** A value and the shared counter: what one machine's change writes. */
+    private static final int USUAL_CHANGES = 2;
+    private static final long UPKEEP_MICROS = 10_000_000;
 
     private final Config config;
     private final Leadership.Term term;
@@ -33,6 +38,8 @@
     private final Runnable recordedListener;
     private final int rowsEach;
     private final int valuesAtOnce;
+    /** Changes wait for one another for so long. */
+    private final long gatherMicros;
     private final List<Set<String>> values = new ArrayList<>();
     private final Set<Integer> dirty = new HashSet<>();
     // What the transaction under way holds.
@@ -53,6 +60,8 @@
         this.recordedListener = recordedListener;
         int valueBytes = Math.min(config.valueBytes(), MOST_VALUE_BYTES);
         this.rowsEach = Math.max(8, valueBytes / ROW_BYTES);
+        this.gatherMicros = Math.max(LEAST_GATHER_MICROS,
+                (long) (USUAL_CHANGES * 1e6 / (ledger.writesPerSecond() * WRITE_SHARE)));
         this.valuesAtOnce = Math.max(1, Math.min(config.txnOps() - 2, MOST_TRANSACTION_BYTES / valueBytes));
     }
 
@@ -101,9 +110,24 @@
         }
     }
 
+    /**
+     * The machine needs a higher baton some time, only so that its exited attempts can be cleared: it gets one together
+     * with others, and takes tasks until then.
+     */
+    void raiseSome(Machine m) {
+        if (!m.wantsUpkeep) {
+            m.wantsUpkeep = true;
+            changed(m.roster, UPKEEP_MICROS);
+        }
+    }
+
     private void changed(int value) {
+        changed(value, gatherMicros);
+    }
+
+    private void changed(int value, long delayMicros) {
         dirty.add(value);
-        ledger.want("rosters", Ledger.Urgency.SAFETY, GATHER_MICROS, this::changes, epoch -> recorded());
+        ledger.want("rosters", Ledger.Urgency.SAFETY, delayMicros, this::changes, epoch -> recorded());
     }
 
     private List<Change> changes() {
@@ -121,6 +145,7 @@
             List<RosterRecord.Host> hosts = new ArrayList<>();
             for (String id : values.get(i)) {
                 Machine m = machines.get(id);
+                m.wantsNewBaton |= m.wantsUpkeep;
                 if (m.wantsNewBaton) {
                     raised.add(m);
                 }
@@ -147,6 +172,7 @@
         }
         for (Machine m : raised) {
             m.wantsNewBaton = false;
+            m.wantsUpkeep = false;
             m.baton = drawn;
             raisedListener.accept(m);
         }
--- a/src/test/java/org/granitepath/simulation/BudgetTest.java
+++ b/src/test/java/org/granitepath/simulation/BudgetTest.java
@@ -16,7 +16,7 @@
 /** Hundreds of wishes, or of questions, on a small budget. */
 class BudgetTest {
     private final World world = new World(1);
-    private final SimState state = new SimState(world, 8, 2048);
+    private final SimState state = new SimState(world, 8, 2048, 1000, 200);
     private final Timers timers = new Timers() {
         @Override
         public long nowMicros() {
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -39,6 +39,13 @@
     private final int txnOps;
     private final int valueBytes;
     private boolean outage;
+
+    /** Changes of a key so far. */
+    int writesOf(String key) {
+        return writesByKey.getOrDefault(key, 0);
+    }
+
+    private final Map<String, Integer> writesByKey = new HashMap<>();
     private long epoch;
     private long leases;
     int oversized;
@@ -47,8 +54,21 @@
     /** Requests to read, long polls included. */
     int reads;
 
-    SimState(World world, int txnOps, int valueBytes) {
+    /** All requests, and those refused because they came too fast. */
+    int requests;
+    int refusals;
+    private final double requestsPerSecond;
+    private final double writesPerSecond;
+    private double requestTokens;
+    private double writeTokens;
+    private long tokensAt;
+
+    SimState(World world, int txnOps, int valueBytes, double requestsPerSecond, double writesPerSecond) {
         this.world = world;
+        this.requestsPerSecond = requestsPerSecond;
+        this.writesPerSecond = writesPerSecond;
+        this.requestTokens = requestsPerSecond;
+        this.writeTokens = writesPerSecond;
         this.txnOps = txnOps;
         this.valueBytes = valueBytes;
         world.after(50_000, this::expire);
@@ -71,8 +91,20 @@
         wake();
     }
 
-    private boolean away(String node) {
-        return outage || refused.contains(node);
+    /** Whether this request is not carried out: the service is away, or asked for too much. */
+    private boolean away(String node, int writes) {
+        requests++;
+        double passed = (world.now() - tokensAt) / 1e6;
+        tokensAt = world.now();
+        requestTokens = Math.min(requestsPerSecond, requestTokens + passed * requestsPerSecond) - 1;
+        writeTokens = Math.min(writesPerSecond, writeTokens + passed * writesPerSecond) - writes;
+        boolean tooFast = requestTokens < 0 || writeTokens < 0;
+        if (tooFast) {
+            requestTokens += 1;
+            writeTokens += writes;
+            refusals++;
+        }
+        return tooFast || outage || refused.contains(node);
     }
 
     private void expire() {
@@ -154,6 +186,7 @@
         }
         epoch++;
         for (StatePort.Change c : txn.changes()) {
+            writesByKey.merge(c.key(), 1, Integer::sum);
             String json = c.value() == null ? null : Json.text(c.value());
             if (json != null && json.length() > valueBytes) {
                 oversized++;
@@ -174,7 +207,7 @@
         return new StatePort() {
             @Override
             public void commit(Txn txn, Consumer<Committed> then) {
-                world.call(node, NAME, TIMEOUT, () -> away(node)
+                world.call(node, NAME, TIMEOUT, () -> away(node, txn.changes().size())
                         ? new Committed(Outcome.REFUSED, 0, List.of()) : SimState.this.commit(txn),
                         c -> then.accept(c == null ? new Committed(Outcome.UNKNOWN, 0, List.of()) : c));
             }
@@ -182,7 +215,7 @@
             @Override
             public void list(String prefix, String from, int limit, Consumer<Page> then) {
                 world.call(node, NAME, TIMEOUT, () -> {
-                    if (away(node)) {
+                    if (away(node, 0)) {
                         return new Page(Outcome.REFUSED, List.of(), false, 0);
                     }
                     List<Item> items = new ArrayList<>();
@@ -205,7 +238,7 @@
             public void follow(String prefix, long from, long waitMicros, Consumer<Page> then) {
                 reads++;
                 world.<Page>callLater(node, NAME, TIMEOUT + waitMicros, answer -> {
-                    if (away(node)) {
+                    if (away(node, 0)) {
                         answer.accept(new Page(Outcome.REFUSED, List.of(), false, 0));
                         return;
                     }
@@ -224,7 +257,7 @@
             @Override
             public void openLease(long lifeMicros, Consumer<Leased> then) {
                 world.call(node, NAME, TIMEOUT, () -> {
-                    if (away(node)) {
+                    if (away(node, 0)) {
                         return new Leased(Outcome.REFUSED, 0);
                     }
                     leases++;
@@ -237,7 +270,7 @@
             @Override
             public void touchLease(long lease, Consumer<Outcome> then) {
                 world.call(node, NAME, TIMEOUT / 2, () -> {
-                    if (away(node)) {
+                    if (away(node, 0)) {
                         return Outcome.REFUSED;
                     }
                     if (!leaseEnds.containsKey(lease)) {
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -21,7 +21,8 @@
 
 /** A stand-in for a machine's worker, as the protocol describes it. */
 final class SimWorker {
-    private static final long TICK = 100_000;
+    /** A worker looks at its tasks this many times between two reports. */
+    private static final int TICKS = 10;
     private static final long PATIENCE = 4_000_000;
 
     private static final class Run {
@@ -151,7 +152,7 @@
         if (dead) {
             return;
         }
-        world.after(TICK, this::tick);
+        world.after(reportMicros / TICKS, this::tick);
         // A hanging machine executes nothing, and its first act on going on is to see that its lease is over.
         expireIfDue();
         if (hanging) {
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -131,6 +131,8 @@
     private final Map<String, Integer> startsAsked = new HashMap<>();
     /** Controllers that users don't get to. */
     private final Set<String> unreachable = new HashSet<>();
+    /** The most direct calls to machines that one controller had under way at once. */
+    int mostCalls;
     private int submissions;
     int doneTold;
 
@@ -148,7 +150,7 @@
         names = IntStream.range(0, shape.controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
         rules = new Rules(world, TEAMS, shape.cancel);
-        state = new SimState(world, shape.txnOps, shape.valueBytes);
+        state = new SimState(world, shape.txnOps, shape.valueBytes, shape.requests, shape.writes);
         List<MachineType> types = List.of(
                 new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
                 new MachineType("large", 16_000, 0, 64_000, 1.0, 1.0, 0.3, 5 * SECOND, ZONES));
@@ -201,6 +203,8 @@
 
     private WorkerPort workerPort(String node) {
         return new WorkerPort() {
+            private int calls;
+
             @Override
             public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
                 countStarts(address, orders);
@@ -214,8 +218,12 @@
 
             private void call(String address, java.util.function.Function<SimWorker, Reply> serve,
                               Consumer<Reply> then) {
+                mostCalls = Math.max(mostCalls, ++calls);
                 world.<Reply>callLater(node, address, 2 * SECOND, answer -> serveWhenAwake(address, serve, answer),
-                        r -> then.accept(r == null ? new Reply(false, null) : r));
+                        r -> {
+                            calls--;
+                            then.accept(r == null ? new Reply(false, null) : r);
+                        });
             }
 
             // A hanging machine carries commands out when it goes on.
@@ -344,6 +352,13 @@
                 checkpointMicros > 0 ? SECOND : 0, service ? JobSpec.NO_DEADLINE : 2 * runMicros + 30 * SECOND);
     }
 
+    /** Another job like this one, of so many tasks that take so little. */
+    JobSpec withCpu(JobSpec j, int tasks, long cpuMillis) {
+        return new JobSpec(String.format("run-%06d", ++submissions), j.jobClass(), j.team(), j.shape(), j.rank(), tasks,
+                cpuMillis, 0, 100, j.image(), j.imageGb(), j.types(), j.zone(), j.oneZone(), j.spread(), j.spot(),
+                j.estimateMicros(), j.checkpointMicros(), j.saveMicros(), j.deadlineMicros());
+    }
+
     JobSpec randomJob() {
         boolean service = world.random.nextInt(3) == 0;
         return job(service, 1 + world.random.nextInt(service ? 5 : 12), service ? Rank.CRITICAL
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.stream.LongStream;
 import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.Rank;
 import org.granitepath.coordination.Beat;
 import org.junit.jupiter.api.Test;
@@ -497,6 +498,27 @@
         assertTrue(prompt >= late.size() * 0.9, prompt + " of " + late.size() + " began at once");
     }
 
+    /**
+     * Machines on which many small tasks run and are replaced: new batons, which let their exited attempts be cleared,
+     * are drawn now and then for all together, and never for what runs.
+     */
+    @Test
+    void upkeepOfMachinesWithManyTasksIsRare() {
+        Simulation s = new Simulation(85, 3, 3);
+        JobSpec like = s.job(true, 31, Rank.CRITICAL, "free", false, false, false, 0, 0);
+        for (int i = 0; i < 4; i++) {
+            s.submit(s.withCpu(like, 31, 250), -1);
+        }
+        JobSpec batch = s.job(false, 60, Rank.STANDARD, "free", true, false, false, 2 * SECOND, 0);
+        for (int i = 0; i < 30; i++) {
+            s.world.after((20 + 3 * i) * SECOND, () -> s.submit(s.withCpu(batch, 60, 250), -1));
+        }
+        s.run(150 * SECOND);
+        assertRulesAndAllDone(s);
+        int drawn = s.state.writesOf(Keys.BATON);
+        assertTrue(drawn < 60, drawn + " batons drawn");
+    }
+
     /** Each service alone would take small machines; together they also fill large ones, which are up sooner. */
     @Test
     void servicesAreBoughtForAsAClass() {
