--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -82,7 +82,7 @@
                 positive(toml, "facts.workers.cancel_s"), number(toml, "facts.state.rps", 0.1),
                 number(toml, "facts.state.write_rps", 0.1), (int) (number(toml, "facts.state.value_kb", 0.5) * 1024),
                 (int) number(toml, "facts.state.txn_ops", 4), number(toml, "facts.cloud.rps", 0.01),
-                micros(toml, "facts.cloud.list_lag_s"), Math.round(number(toml, "facts.skew_ms", 0) * 1000),
+                Math.round(number(toml, "facts.skew_ms", 0) * 1000),
                 toml.get("facts.resources.max_connections") == null ? DEFAULT_CONNECTIONS
                         : (int) number(toml, "facts.resources.max_connections", LEAST_CONNECTIONS),
                 tuning(tuningFile));
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -13,7 +13,7 @@
 public record Config(String node, String incarnation, String zone, Map<String, String> peerZones, List<String> zones,
                      Map<String, Team> teams, Map<String, Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
                      double stateRequests, double stateWrites, int valueBytes, int txnOps, double cloudRequests,
-                     long listLagMicros, long skewMicros, int maxConnections, Tuning tuning) {
+                     long skewMicros, int maxConnections, Tuning tuning) {
 
     public Collection<String> peers() {
         return peerZones.keySet();
--- a/src/main/java/org/granitepath/coordination/WorkerPort.java
+++ b/src/main/java/org/granitepath/coordination/WorkerPort.java
@@ -9,6 +9,4 @@
     record Reply(boolean executed, Beat report) {}
 
     void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then);
-
-    void show(String address, Consumer<Reply> then);
 }
--- a/src/main/java/org/granitepath/transport/WorkerClient.java
+++ b/src/main/java/org/granitepath/transport/WorkerClient.java
@@ -23,10 +23,4 @@
                 false, (status, body) -> then.accept(new Reply(status == 200,
                         status == 200 || status == 409 ? WorkerCodec.decodeBeat(body) : null)));
     }
-
-    @Override
-    public void show(String address, Consumer<Reply> then) {
-        http.call(address, Methods.GET, "/show", null, TIMEOUT_MICROS, false, (status, body) -> then.accept(
-                new Reply(status == 200, status == 200 ? WorkerCodec.decodeBeat(body) : null)));
-    }
 }
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -262,11 +262,6 @@
         return new org.granitepath.coordination.WorkerPort.Reply(ok, beat());
     }
 
-    org.granitepath.coordination.WorkerPort.Reply show() {
-        expireIfDue();
-        return new org.granitepath.coordination.WorkerPort.Reply(true, beat());
-    }
-
     boolean hangs() {
         return hanging;
     }
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -53,7 +53,7 @@
             int ours = life;
             Config config = new Config(name, name + "-" + life, zoneOf(name), names.stream()
                     .filter(n -> !n.equals(name)).collect(Collectors.toMap(n -> n, Simulation.this::zoneOf)), ZONES, TEAMS, Map.of("svc", new Config.Objective(8 * SECOND, 1, 0)), shape.report, shape.lease,
-                    shape.cancel, shape.requests, shape.writes, shape.valueBytes, shape.txnOps, 5, 4 * SECOND, 250_000,
+                    shape.cancel, shape.requests, shape.writes, shape.valueBytes, shape.txnOps, 5, 250_000,
                     shape.connections, Config.Tuning.defaults());
             controller = new Controller(config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name),
                     new Timers() {
@@ -211,11 +211,6 @@
                 call(address, w -> w.orders(baton, session, orders), then);
             }
 
-            @Override
-            public void show(String address, Consumer<Reply> then) {
-                call(address, SimWorker::show, then);
-            }
-
             private void call(String address, java.util.function.Function<SimWorker, Reply> serve,
                               Consumer<Reply> then) {
                 mostCalls = Math.max(mostCalls, ++calls);
