The owner's writes come first, claims grow when writes wait, rosters keep to their share

Now desks write less when refused, a job claims all it has when the owner is behind, and rosters pace themselves by what they really wrote; upkeep every 15 s.

--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -194,9 +194,10 @@
             return;
         }
         dispatcher.outlook().look(now);
-        RentalPlan plan = new RentalPlan(config, dispatcher, refusedUntil::containsKey, silence::cutOff, now);
+        RentalPlan plan = new RentalPlan(config, dispatcher, refusedUntil::containsKey,
+                zone -> silence.cutOff(zone, now), now);
         for (Booting b : booting.values()) {
-            if (!b.overdue(now) && !silence.cutOff(b.zone())) {
+            if (!b.overdue(now) && !silence.cutOff(b.zone(), now)) {
                 plan.coming(b.type(), b.zone(), b.spot());
             }
         }
@@ -282,7 +283,7 @@
             if (ids.size() >= RETURN_AT_ONCE) {
                 break;
             }
-            boolean trust = trustSilence && !silence.waitedFor(m.zone, now) || now - m.heardMicros > cutPatienceMicros();
+            boolean trust = trustSilence && !silence.waitedFor(m, now) || now - m.heardMicros > cutPatienceMicros();
             boolean dead = trust && now - m.heardMicros > silenceMicros(m);
             boolean idle = m.phase == Machine.Phase.READY && m.placements.isEmpty()
                     && now - m.idleSinceMicros > idleMicros(m) && now - m.rentedMicros > LEAST_CHARGE_MICROS;
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -104,9 +104,9 @@
         this.consolidator = new Consolidator(this, machines.values());
         this.startedMicros = timers.nowMicros();
         this.tickedMicros = startedMicros;
-        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.65,
+        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.65, false,
                 () -> List.of(new Guard(Keys.LEADER, term.leaderStamp())), () -> !ended);
-        this.rosters = new Rosters(config, term, mirror, ledger, machines, this::raised, this::scheduleSoon);
+        this.rosters = new Rosters(config, term, mirror, ledger, timers, machines, this::raised, this::scheduleSoon);
         inheritMachines();
         for (JobRecord record : book.openJobs()) {
             open(record);
@@ -750,7 +750,8 @@
 
     /** Claims the next block of task numbers in good time, before the present one is used up. */
     void claim(ActiveJob job) {
-        int block = config.tuning().nextBlock(job.spec);
+        // When writes have to wait for one another, a job claims all it has: machines would stand idle meanwhile.
+        int block = ledger.behind() ? job.spec.tasks() : config.tuning().nextBlock(job.spec);
         int want = job.spec.gang() ? job.spec.tasks() : Math.min(job.spec.tasks(), job.fresh + block);
         if (want > job.claimWanted && (want == job.spec.tasks() || job.claimWanted - job.fresh <= block / 2)) {
             job.claimWanted = want;
--- a/src/main/java/org/granitepath/coordination/Ledger.java
+++ b/src/main/java/org/granitepath/coordination/Ledger.java
@@ -25,8 +25,13 @@
 public final class Ledger {
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
     private static final long RETRY_MICROS = 300_000;
+    private static final long REFUSED_MICROS = 100_000;
     private static final int TXN_BYTES = 48 * 1024;
     private static final double KEPT_FROM_NEWS = 0.3;
+    private static final int BEHIND_SECONDS = 3;
+    /** How an elastic ledger yields when the service refuses, and takes up again when it does not. */
+    private static final double LEAST_RATE = 0.03;
+    private static final double RATE_STEP = 0.01;
 
     /** What goes first when the budget is short: what keeps work safe, what lets it start, what merely tells of it. */
     public enum Urgency { SAFETY, WORK, NEWS }
@@ -43,17 +48,31 @@
     private final BooleanSupplier open;
     private final Map<String, Entry> wanted = new LinkedHashMap<>();
     private boolean busy;
+    private boolean behind;
+    /** Changes to a transaction, at present. */
+    private int mostAtOnce;
     private boolean timerSet;
     private double tokens;
     private long tokensAtMicros;
+    private final boolean elastic;
+    /** What an elastic ledger takes of its share at present. */
+    private double rate;
 
-    /** @param fence guards on every transaction; @param open whether to write at all; once false, false for ever */
-    public Ledger(StatePort state, Mirror mirror, Timers timers, int txnOps, double writesPerSecond,
+    /**
+     * @param elastic whether to write less when the service refuses: the shares of all controllers add up to more than
+     *     there is, so that one alone can use it, and the owner's writes are not to suffer for that
+     * @param fence guards on every transaction
+     * @param open whether to write at all; once false, false for ever
+     */
+    public Ledger(StatePort state, Mirror mirror, Timers timers, int txnOps, double writesPerSecond, boolean elastic,
                   Supplier<List<Guard>> fence, BooleanSupplier open) {
+        this.elastic = elastic;
+        this.rate = writesPerSecond;
         this.state = state;
         this.mirror = mirror;
         this.timers = timers;
         this.txnOps = txnOps;
+        this.mostAtOnce = txnOps;
         this.writesPerSecond = writesPerSecond;
         this.fence = fence;
         this.open = open;
@@ -65,6 +84,11 @@
         return writesPerSecond;
     }
 
+    /** Whether more waits, news aside, than can be written in a few seconds. */
+    boolean behind() {
+        return behind;
+    }
+
     /**
      * Asks for a write. A later wish under the same name replaces an earlier one, but never puts it off. An empty
      * content withdraws it.
@@ -84,14 +108,14 @@
             return;
         }
         long now = timers.nowMicros();
-        tokens = Math.min(writesPerSecond, tokens + (now - tokensAtMicros) * writesPerSecond / 1e6);
+        tokens = Math.min(Math.max(1, rate), tokens + (now - tokensAtMicros) * rate / 1e6);
         tokensAtMicros = now;
         long wait = Long.MAX_VALUE;
         for (Entry e : wanted.values()) {
             wait = Math.min(wait, e.dueMicros() - now);
         }
         if (wait <= 0 && tokens < 1) {
-            wait = (long) ((1 - tokens) * 1e6 / writesPerSecond) + 1;
+            wait = (long) ((1 - tokens) * 1e6 / rate) + 1;
         }
         if (wait > 0) {
             wake(wait);
@@ -111,12 +135,19 @@
         busy = true;
         tokens -= changes.size();
         wanted.keySet().removeAll(sent.keySet());
+        behind = wanted.values().stream().filter(e -> e.urgency() != Urgency.NEWS).count()
+                > BEHIND_SECONDS * writesPerSecond;
         state.commit(new Txn(guards, changes), answer -> {
+            if (elastic) {
+                rate = answer.outcome() == Outcome.REFUSED ? Math.max(LEAST_RATE * writesPerSecond, rate / 2)
+                        : Math.min(writesPerSecond, rate + RATE_STEP * writesPerSecond);
+            }
             if (answer.outcome() == Outcome.OK) {
                 for (Change c : changes) {
                     mirror.applied(c.key(), c.value(), answer.epoch());
                 }
                 busy = false;
+                mostAtOnce = Math.min(txnOps, mostAtOnce + 1);
                 for (Entry e : sent.values()) {
                     e.committed().accept(answer.epoch());
                 }
@@ -124,15 +155,24 @@
                 return;
             }
             LOG.debug("transaction on {} ended {} {}", sent.keySet(), answer.outcome(), answer.failed());
-            // Written, refused or still under way: read back before trying again with the stamps as they then are.
             sent.forEach(wanted::putIfAbsent);
+            if (answer.outcome() == Outcome.REFUSED) {
+                // Not carried out. A small transaction gets through sooner where others draw on the same budget.
+                mostAtOnce = Math.max(1, changes.size() / 2);
+                timers.after(elastic ? RETRY_MICROS : REFUSED_MICROS, () -> {
+                    busy = false;
+                    pump();
+                });
+                return;
+            }
+            // Written or still under way: read back before trying again with the stamps as they then are.
             readBack(answer.outcome() == Outcome.CONFLICT ? 0 : RETRY_MICROS);
         });
     }
 
     /** Fills one transaction, most urgent first. Contents are made only while there is room: hundreds may wait. */
     private void gather(long now, List<Change> changes, Map<String, Entry> sent) {
-        int most = Math.min(txnOps, Math.max(1, (int) tokens));
+        int most = Math.min(mostAtOnce, Math.max(1, (int) tokens));
         int bytes = 0;
         List<String> withdrawn = new ArrayList<>();
         for (Urgency urgency : Urgency.values()) {
--- a/src/main/java/org/granitepath/coordination/Rosters.java
+++ b/src/main/java/org/granitepath/coordination/Rosters.java
@@ -12,6 +12,7 @@
 import org.granitepath.bookkeeping.Mirror;
 import org.granitepath.bookkeeping.RosterRecord;
 import org.granitepath.bookkeeping.StatePort.Change;
+import org.granitepath.bookkeeping.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,9 +26,7 @@
     private static final long LEAST_GATHER_MICROS = 30_000;
     /** Share of the budget that rosters may take: their writes go first, and claims must not starve behind them. */
     private static final double WRITE_SHARE = 0.3;
-    /** A value and the shared counter: what one machine's change writes. */
-    private static final int USUAL_CHANGES = 2;
-    private static final long UPKEEP_MICROS = 10_000_000;
+    private static final long UPKEEP_MICROS = 15_000_000;
 
     private final Config config;
     private final Leadership.Term term;
@@ -38,8 +37,11 @@
     private final Runnable recordedListener;
     private final int rowsEach;
     private final int valuesAtOnce;
-    /** Changes wait for one another for so long. */
-    private final long gatherMicros;
+    private final Timers timers;
+    /** Before this the next write would take more than the rosters' share of the budget. */
+    private long nextMicros;
+    private boolean upkeepTimerSet;
+    private boolean upkeepDue;
     private final List<Set<String>> values = new ArrayList<>();
     private final Set<Integer> dirty = new HashSet<>();
     // What the transaction under way holds.
@@ -49,8 +51,9 @@
     private long drawn;
 
     /** @param raisedListener told of each machine whose new baton is on record; {@code recordedListener} of each write */
-    Rosters(Config config, Leadership.Term term, Mirror mirror, Ledger ledger, Map<String, Machine> machines,
-            Consumer<Machine> raisedListener, Runnable recordedListener) {
+    Rosters(Config config, Leadership.Term term, Mirror mirror, Ledger ledger, Timers timers,
+            Map<String, Machine> machines, Consumer<Machine> raisedListener, Runnable recordedListener) {
+        this.timers = timers;
         this.config = config;
         this.term = term;
         this.mirror = mirror;
@@ -60,8 +63,6 @@
         this.recordedListener = recordedListener;
         int valueBytes = Math.min(config.valueBytes(), MOST_VALUE_BYTES);
         this.rowsEach = Math.max(8, valueBytes / ROW_BYTES);
-        this.gatherMicros = Math.max(LEAST_GATHER_MICROS,
-                (long) (USUAL_CHANGES * 1e6 / (ledger.writesPerSecond() * WRITE_SHARE)));
         this.valuesAtOnce = Math.max(1, Math.min(config.txnOps() - 2, MOST_TRANSACTION_BYTES / valueBytes));
     }
 
@@ -115,19 +116,21 @@
      * with others, and takes tasks until then.
      */
     void raiseSome(Machine m) {
-        if (!m.wantsUpkeep) {
-            m.wantsUpkeep = true;
-            changed(m.roster, UPKEEP_MICROS);
+        m.wantsUpkeep = true;
+        if (!upkeepTimerSet) {
+            upkeepTimerSet = true;
+            timers.after(UPKEEP_MICROS, () -> {
+                upkeepTimerSet = false;
+                upkeepDue = true;
+                machines.values().stream().filter(each -> each.wantsUpkeep).forEach(each -> changed(each.roster));
+            });
         }
     }
 
     private void changed(int value) {
-        changed(value, gatherMicros);
-    }
-
-    private void changed(int value, long delayMicros) {
         dirty.add(value);
-        ledger.want("rosters", Ledger.Urgency.SAFETY, delayMicros, this::changes, epoch -> recorded());
+        long delay = Math.max(LEAST_GATHER_MICROS, nextMicros - timers.nowMicros());
+        ledger.want("rosters", Ledger.Urgency.SAFETY, delay, this::changes, epoch -> recorded());
     }
 
     private List<Change> changes() {
@@ -145,7 +148,7 @@
             List<RosterRecord.Host> hosts = new ArrayList<>();
             for (String id : values.get(i)) {
                 Machine m = machines.get(id);
-                m.wantsNewBaton |= m.wantsUpkeep;
+                m.wantsNewBaton |= upkeepDue && m.wantsUpkeep;
                 if (m.wantsNewBaton) {
                     raised.add(m);
                 }
@@ -162,11 +165,13 @@
         if (!raised.isEmpty()) {
             changes.add(Change.write(Keys.BATON, Leadership.batonRecord(config.node(), term.baton(), drawn)));
         }
+        nextMicros = timers.nowMicros() + (long) (changes.size() * 1e6 / (ledger.writesPerSecond() * WRITE_SHARE));
         return changes;
     }
 
     private void recorded() {
         written.clear();
+        upkeepDue &= !dirty.isEmpty();
         for (Machine m : enrolled) {
             m.rostered = true;
         }
--- a/src/main/java/org/granitepath/coordination/Silence.java
+++ b/src/main/java/org/granitepath/coordination/Silence.java
@@ -66,17 +66,20 @@
         cutOff.retainAll(all.keySet());
     }
 
-    /** Whether the machines of this zone alone are not heard. None is rented there. */
-    boolean cutOff(String zone) {
-        return cutOff.contains(zone);
-    }
-
-    /** The same, or was just now: its machines are waited for, as long as their reports take to find their way back. */
-    boolean waitedFor(String zone, long now) {
+    /** Whether the machines of this zone alone were lately not heard: none is rented there. */
+    boolean cutOff(String zone, long now) {
         Long last = lastCutMicros.get(zone);
         return last != null && now - last < config.leaseMicros();
     }
 
+    /**
+     * Whether this machine may be cut off with work that goes on: only where a controller inside can keep its lease
+     * alive. Elsewhere its work is lost with the lease, and is sooner done on another machine.
+     */
+    boolean waitedFor(Machine m, long now) {
+        return cutOff(m.zone, now) && config.peerIn(m.zone);
+    }
+
     /**
      * Many overdue at once: perhaps we are the ones cut off. Peers that don't hear them either tell us that we are not.
      */
--- a/src/main/java/org/granitepath/coordination/UserDesk.java
+++ b/src/main/java/org/granitepath/coordination/UserDesk.java
@@ -51,7 +51,7 @@
         this.book = book;
         this.timers = timers;
         this.types = types;
-        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.5,
+        this.ledger = new Ledger(state, mirror, timers, config.txnOps(), config.stateWrites() * 0.5, true,
                 // An acceptance claims tasks for the owner that we know of: it must be the owner still.
                 () -> List.of(new Guard(Keys.LEADER, mirror.stamp(Keys.LEADER))), () -> true);
     }
--- a/src/test/java/org/granitepath/simulation/BudgetTest.java
+++ b/src/test/java/org/granitepath/simulation/BudgetTest.java
@@ -53,7 +53,7 @@
     @Test
     void manyQuestionsShareFewReads() {
         Mirror mirror = mirror();
-        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 20, List::of, () -> true);
+        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 20, false, List::of, () -> true);
         int[] answered = new int[1];
         for (int i = 0; i < 2_000; i++) {
             world.after(i * 5_000, () -> mirror.barrier(fresh -> answered[0] += fresh ? 1 : 0));
@@ -72,7 +72,7 @@
     @Test
     void urgentWishesOvertakeAndWaitingOnesCostNothing() {
         Mirror mirror = mirror();
-        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 10, List::of, () -> true);
+        Ledger ledger = new Ledger(state.portFor("n"), mirror, timers, 8, 10, false, List::of, () -> true);
         List<String> written = new ArrayList<>();
         int[] made = new int[1];
         for (int i = 0; i < 300; i++) {
@@ -91,4 +91,33 @@
         assertEquals(301, written.size());
         assertTrue(made[0] <= 310, "contents were made " + made[0] + " times");
     }
+
+    /** Desks of five controllers want more than there is: the owner's writes still go out at their rate. */
+    @Test
+    void desksYieldToTheOwner() {
+        SimState tight = new SimState(world, 8, 2048, 1000, 18);
+        int[] owners = new int[1];
+        for (int n = 0; n < 6; n++) {
+            int node = n;
+            Mirror mirror = new Mirror(tight.portFor("n" + n), timers, 50_000, new Mirror.Listener() {
+                @Override
+                public void changed(String key, Map<String, Object> value, long stamp) {
+                }
+
+                @Override
+                public void loaded() {
+                }
+            });
+            mirror.start();
+            Ledger ledger = new Ledger(tight.portFor("n" + n), mirror, timers, 8, n == 0 ? 11.7 : 9, n > 0, List::of,
+                    () -> true);
+            for (int i = 0; i < 900; i++) {
+                String key = "g/" + node + "/" + i;
+                world.after(1_000_000 + i * 60_000, () -> ledger.want(key, Urgency.WORK, 0,
+                        () -> List.of(Change.write(key, Map.of("x", 1))), epoch -> owners[0] += node == 0 ? 1 : 0));
+            }
+        }
+        world.run(61_000_000, () -> { });
+        assertTrue(owners[0] > 60 * 7, owners[0] + " writes of the owner in a minute");
+    }
 }
