--- a/src/main/java/org/granitepath/coordination/RentalPlan.java
+++ b/src/main/java/org/granitepath/coordination/RentalPlan.java
@@ -18,6 +18,8 @@
     /** A service that starts this much later is worth half as much to its users. */
     private static final double LATE_START_MICROS = 120e6;
     private static final int MOST_PLANNED = 2000;
+    /** More machines than a few rentals bring are not planned for: the plan is made anew after each. */
+    private static final int MOST_MACHINES = 400;
 
     record Offer(MachineType type, String zone, boolean spot, ActiveJob job) {
         String key() {
@@ -76,6 +78,7 @@
     /** CPUs for batch work on machines on their way. */
     private double roomComing;
     private double headroomSpare = Double.MAX_VALUE;
+    private int newMachines;
 
     /** @param refused offers of which the cloud lately had none; {@code cutOff} zones whose machines would not be heard */
     RentalPlan(Config config, Dispatcher dispatcher, Predicate<String> refused, Predicate<String> cutOff, long now) {
@@ -200,7 +203,8 @@
                 left--;
             }
         }
-        while (left > 0) {
+        while (left > 0 && newMachines < MOST_MACHINES) {
+            newMachines++;
             Offer offer = cheapest(job, !dispatcher.outlook().patient(job, roomComing, now), left + others,
                     zoneCounts);
             if (offer == null) {
