--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -74,7 +74,17 @@
 
     /** Connections of machines that stay open between reports; the rest is for users, peers and our own calls. */
     public int machineConnections() {
-        return Math.max(8, maxConnections * 6 / 10);
+        return Math.max(8, maxConnections / 2);
+    }
+
+    /** All connections held open from outside; beyond, each closes after its answer. */
+    public int heldConnections() {
+        return Math.max(16, maxConnections * 7 / 10);
+    }
+
+    /** Connections that wait to be accepted: while a process stands still they take sockets all the same. */
+    public int backlog() {
+        return Math.max(16, maxConnections / 5);
     }
 
     /** A margin on everything timed by another machine's clock. */
--- a/src/main/java/org/granitepath/transport/BackServer.java
+++ b/src/main/java/org/granitepath/transport/BackServer.java
@@ -18,8 +18,8 @@
         this.metrics = metrics;
     }
 
-    Undertow listen(EventLoop loop, String host, int port) {
-        Undertow server = ServiceServer.builder(loop, host, port).setHandler(exchange -> exchange.dispatch(
+    Undertow listen(EventLoop loop, String host, int port, int backlog) {
+        Undertow server = ServiceServer.builder(loop, host, port, backlog).setHandler(exchange -> exchange.dispatch(
                 SameThreadExecutor.INSTANCE, EventLoop.guarded(() -> {
                     if (exchange.getRequestPath().equals("/metrics")) {
                         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
--- a/src/main/java/org/granitepath/transport/Connections.java
+++ b/src/main/java/org/granitepath/transport/Connections.java
@@ -11,9 +11,6 @@
  */
 final class Connections {
     private static final Logger LOG = LoggerFactory.getLogger(Connections.class);
-    /** Of all sockets, those that may be held open from outside; the rest is for our own calls and for new arrivals. */
-    private static final double HELD_SHARE = 0.8;
-
     private static final class Held {
         boolean machine;
     }
@@ -26,9 +23,9 @@
     private int others;
     private boolean full;
 
-    Connections(int mostMachines, int maxConnections) {
+    Connections(int mostMachines, int most) {
         this.mostMachines = mostMachines;
-        this.most = (int) (maxConnections * HELD_SHARE);
+        this.most = most;
     }
 
     int machines() {
--- a/src/main/java/org/granitepath/transport/ServiceServer.java
+++ b/src/main/java/org/granitepath/transport/ServiceServer.java
@@ -23,8 +23,6 @@
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
     /** A machine that is gone closes nothing: what is silent for longer than any lease or poll is closed from here. */
     private static final int IDLE_TIMEOUT_MILLIS = 40_000;
-    /** A whole fleet may come to a new owner at once. */
-    private static final int BACKLOG = 2_048;
     private static final String REPORTS = "/agent/beat";
     private static final String JOBS = "/submissions";
     private static final String CANCEL = "/cancel";
@@ -45,22 +43,22 @@
     public static void listen(Controller controller, Config config, EventLoop loop, String host, int port,
                               String backHost, int backPort) {
         Metrics metrics = new Metrics();
-        Connections connections = new Connections(config.machineConnections(), config.maxConnections());
+        Connections connections = new Connections(config.machineConnections(), config.heldConnections());
         metrics.watch(connections);
         ServiceServer service = new ServiceServer(controller, metrics, loop, connections);
-        new BackServer(controller, metrics).listen(loop, backHost, backPort);
-        builder(loop, host, port).setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
+        new BackServer(controller, metrics).listen(loop, backHost, backPort, config.backlog());
+        builder(loop, host, port, config.backlog()).setHandler(exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE,
                 EventLoop.guarded(() -> service.route(exchange)))).build().start();
     }
 
-    static Undertow.Builder builder(EventLoop loop, String host, int port) {
+    static Undertow.Builder builder(EventLoop loop, String host, int port, int backlog) {
         return Undertow.builder()
                 .setWorker(loop.worker())
                 .setByteBufferPool(loop.buffers())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_BODY_BYTES)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                .setSocketOption(Options.BACKLOG, BACKLOG)
+                .setSocketOption(Options.BACKLOG, backlog)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
                 .addHttpListener(port, host);
