--- a/src/test/java/org/granitepath/simulation/BudgetTest.java
+++ b/src/test/java/org/granitepath/simulation/BudgetTest.java
@@ -35,7 +35,13 @@
     };
 
     private Mirror mirror() {
-        Mirror mirror = new Mirror(state.portFor("n"), timers, 50_000, new Mirror.Listener() {
+        Mirror mirror = mirrorOf(state, "n");
+        world.run(1_000_000, () -> { });
+        return mirror;
+    }
+
+    private Mirror mirrorOf(SimState of, String node) {
+        Mirror mirror = new Mirror(of.portFor(node), timers, 50_000, new Mirror.Listener() {
             @Override
             public void changed(String key, Map<String, Object> value, long stamp) {
             }
@@ -45,7 +51,6 @@
             }
         });
         mirror.start();
-        world.run(1_000_000, () -> { });
         return mirror;
     }
 
@@ -99,16 +104,7 @@
         int[] owners = new int[1];
         for (int n = 0; n < 6; n++) {
             int node = n;
-            Mirror mirror = new Mirror(tight.portFor("n" + n), timers, 50_000, new Mirror.Listener() {
-                @Override
-                public void changed(String key, Map<String, Object> value, long stamp) {
-                }
-
-                @Override
-                public void loaded() {
-                }
-            });
-            mirror.start();
+            Mirror mirror = mirrorOf(tight, "n" + n);
             Ledger ledger = new Ledger(tight.portFor("n" + n), mirror, timers, 8, n == 0 ? 11.7 : 9, n > 0, List::of,
                     () -> true);
             for (int i = 0; i < 900; i++) {
