A call's answer tells only of its own starts; cancellations bind starts, not only leases

A direct start had no answer in time; the next direct call to the same machine, which held only stops, was answered, and its answer was taken for that of the start (sendOrders passed on every start still without an answer). The start was carried out late. Now a call answers for the starts that went out in it. - once a start was sent after a cancellation was confirmed: the owner had not read it yet. Now the controller that confirms tells its peers first, and answers when the owner has taken it in, or when an owner out of reach can't count as in touch any more (a lease of the leader later). Out of touch an owner starts nothing, unless every peer says that it is out of touch as well.

By reading: the hold of an owner counted from its last touch of the lease. A cancellation shows in the records alone, and touches may get through while reads don't; it now counts from the older of the two (Leadership.reckon, the one place that decides). An answer to a report overtaken by a direct call renewed the lease without stops. A task told to save was not told to end when its job was cancelled. A gang that doesn't fit asked for the next pass at once, without end.

Impossible times (cancel_s too near to lease_s, lease_s below two reports) and teams are refused at the start.

--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -86,10 +87,35 @@
                 toml.get("facts.resources.max_connections") == null ? DEFAULT_CONNECTIONS
                         : (int) number(toml, "facts.resources.max_connections", LEAST_CONNECTIONS),
                 tuning(tuningFile));
+        checkTimes(config);
+        checkTeams(teams.values());
         return new Settings(config, address(text(toml, "serve_on"), "serve_on"), address(text(toml, "back"), "back"),
                 peers, addressText(toml, "services.cloud"), addressText(toml, "services.state"));
     }
 
+    /** Times under which no rule could be kept, whatever the service does. */
+    private static void checkTimes(Config c) throws Invalid {
+        if (c.leaseMicros() < 2 * c.reportMicros()) {
+            throw new Invalid("facts.workers.lease_s must be at least twice report_s, or leases run out between reports");
+        }
+        if (c.holdMicros() < Config.LEAST_HOLD_MICROS) {
+            throw new Invalid("facts.workers.cancel_s must be more than lease_s by at least "
+                    + Math.ceil((c.cancelMicros() - c.holdMicros() + Config.LEAST_HOLD_MICROS - c.leaseMicros()) / 1e5) / 10
+                    + " s, or cancelled tasks could outlive their time");
+        }
+    }
+
+    private static void checkTeams(Collection<Config.Team> teams) throws Invalid {
+        for (Config.Team t : teams) {
+            if (t.cpuGuarantee() < 0 || t.cpuLimit() < 0 || t.gpuGuarantee() < 0 || t.gpuLimit() < 0) {
+                throw new Invalid("facts.teams: team " + t.name() + ": guarantees and limits can't be negative");
+            }
+            if (t.cpuLimit() > 0 && t.cpuGuarantee() > t.cpuLimit() || t.gpuLimit() > 0 && t.gpuGuarantee() > t.gpuLimit()) {
+                throw new Invalid("facts.teams: team " + t.name() + " is guaranteed more than its limit");
+            }
+        }
+    }
+
     // ---- operators' own settings ---------------------------------------------------------------------------------
 
     private static Config.Tuning tuning(Path file) throws Invalid {
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -90,6 +90,9 @@
     /** A margin on everything timed by another machine's clock. */
     public static final long MARGIN_MICROS = 1_500_000;
 
+    /** A leader must be able to go from one word of the state service to the next. */
+    public static final long LEAST_HOLD_MICROS = 1_000_000;
+
     /** {@code micros} on another machine's steady clock is over on ours after this long. */
     public static long withDrift(long micros) {
         return micros + micros / 900;
@@ -97,9 +100,10 @@
 
     /**
      * How long a leader out of touch with the state service goes on answering workers: a cancellation that it can't
-     * see must still take effect by the end of the workers' lease.
+     * see must still take effect by the end of the workers' lease. Settings that leave less than
+     * {@link #LEAST_HOLD_MICROS} are refused.
      */
     public long holdMicros() {
-        return Math.max(1_000_000, cancelMicros - withDrift(leaseMicros) - 2 * MARGIN_MICROS);
+        return cancelMicros - withDrift(leaseMicros) - 2 * MARGIN_MICROS;
     }
 }
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -64,7 +64,8 @@
                                 leadership.ownerNode());
                     }
                 });
-        this.leadership = new Leadership(config, state, mirror, timers, new Leadership.Listener() {
+        this.peers = new Peers(config, peerPort, timers, this::greeting);
+        this.leadership = new Leadership(config, state, mirror, timers, () -> peers.allOutOfTouch(CUT_OFF_MICROS), new Leadership.Listener() {
             @Override
             public void elected(Leadership.Term term) {
                 takeOffice(term);
@@ -75,9 +76,8 @@
                 leaveOffice();
             }
         });
-        this.peers = new Peers(config, peerPort, timers, this::greeting);
         this.deputy = new Deputy(config, mirror, book, peers, timers);
-        this.desk = new UserDesk(config, state, mirror, book, timers, () -> types);
+        this.desk = new UserDesk(config, state, mirror, book, timers, () -> types, (word, then) -> peers.tellCancelled(word, leadership.ownerNode(), then));
     }
 
     public void start() {
@@ -113,6 +113,11 @@
         return greeting();
     }
 
+    /** A peer has confirmed a cancellation that we may not be able to read: it is on record, so it counts at once. */
+    public void cancelledElsewhere(PeerPort.Cancelled word) {
+        mirror.applied(Keys.FINAL + word.job(), JobBook.finalRecord(JobBook.Final.CANCELLED), word.stamp());
+    }
+
     public boolean owner() {
         return dispatcher != null;
     }
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -363,7 +363,7 @@
             m.fenced = false;
             // Overtaken by the answer to a direct order: nothing to learn, but the worker is where it should be.
             return m.phase != Machine.Phase.GONE && beat.session() == m.session
-                    ? new BeatAnswer.Accepted(m.baton, List.of()) : new BeatAnswer.Unavailable();
+                    ? new BeatAnswer.Accepted(m.baton, stopsFor(m)) : new BeatAnswer.Unavailable();
         }
         if (scheduleDue && timers.nowMicros() >= passDueMicros) {
             schedule();
@@ -567,6 +567,13 @@
         return book.progressOf(r.task().job()).done().contains(r.task().index());
     }
 
+    /** It was assigned and not sent, and is not to be after all: there is no more room by that than before. */
+    void withdraw(Placement p, String why) {
+        boolean due = scheduleDue;
+        free(p, why);
+        scheduleDue = due;
+    }
+
     void free(Placement p, String why) {
         if (!p.live()) {
             return;
@@ -587,6 +594,10 @@
     void stop(Placement p, long graceMicros, String why) {
         if (p.phase == Placement.Phase.ASSIGNED) {
             free(p, why);
+        } else if (p.phase == Placement.Phase.STOPPING && graceMicros < p.graceMicros) {
+            // Told to save before, and cancelled meanwhile: it need not, and must not go on.
+            p.graceMicros = graceMicros;
+            ordersDue(p.machine);
         } else if (p.live() && p.phase != Placement.Phase.STOPPING) {
             LOG.debug("stopping {} on {}: {}", p.task, p.machine.id, why);
             p.graceMicros = graceMicros;
@@ -595,14 +606,24 @@
         }
     }
 
-    /** All that this machine is to do. Stops are repeated until they are seen to work; starts go out once. */
-    private List<Order> ordersFor(Machine m, boolean inAnswer) {
+    /** What is to end there, as of now. Every answer that renews a lease holds it: no task outlives its end by that. */
+    private static List<Order> stopsFor(Machine m) {
         List<Order> orders = new ArrayList<>(m.housekeeping);
-        ordersDue.remove(m);
         for (Placement p : m.placements.values()) {
             if (p.phase == Placement.Phase.STOPPING) {
                 orders.add(Order.stop(p.task, p.attempt, p.graceMicros));
-            } else if (p.phase == Placement.Phase.ASSIGNED && m.takesTasks()) {
+            }
+        }
+        return orders;
+    }
+
+    /** All that this machine is to do. Stops are repeated until they are seen to work; starts go out once. */
+    private List<Order> ordersFor(Machine m, boolean inAnswer) {
+        List<Order> orders = stopsFor(m);
+        ordersDue.remove(m);
+        boolean starts = m.takesTasks() && leadership.mayStart();
+        for (Placement p : m.placements.values()) {
+            if (p.phase == Placement.Phase.ASSIGNED && starts) {
                 orders.add(Order.start(p.task, p.attempt));
                 p.sentInAnswer = inAnswer;
                 if (!inAnswer) {
@@ -631,14 +652,12 @@
                 return;
             }
             if (!m.callUnderWay && m.session >= 0 && !m.quiet(now, config.reportMicros())) {
+                // An answer tells only of the starts in its own call: one sent before, without an answer, may come yet.
+                List<Placement> starts = m.placements.values().stream().filter(p -> p.phase == Placement.Phase.ASSIGNED)
+                        .toList();
                 List<Order> orders = ordersFor(m, false);
+                starts = starts.stream().filter(p -> p.phase == Placement.Phase.SENT).toList();
                 if (!orders.isEmpty()) {
-                    List<Placement> starts = new ArrayList<>();
-                    for (Placement p : m.placements.values()) {
-                        if (p.unansweredBaton != 0) {
-                            starts.add(p);
-                        }
-                    }
                     callWorker(m, orders, starts, () -> { });
                 }
             }
@@ -798,6 +817,9 @@
 
     /** A pass over a large fleet takes its time: the next one waits for several times as long, for reports' sake. */
     private void schedule() {
+        if (!leadership.mayStart()) {
+            return; // what a pass would stop to make room could not be followed by a start
+        }
         long began = timers.nowMicros();
         scheduleDue = false;
         scheduler.pass();
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.granitepath.bookkeeping.Fields;
 import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.Mirror;
@@ -27,8 +28,9 @@
     private static final long QUIET_AFTER_ABDICATION_MICROS = 15_000_000;
 
     /**
-     * {@code HOLDING}: lately no word from the state service; workers are still answered, since an outage looks the
-     * same. {@code SILENT}: for so long that a cancellation might be missed; workers are left to their leases.
+     * {@code HOLDING}: lately no word from the state service, or only about our lease and not about the records;
+     * workers are still answered, since an outage looks the same. {@code SILENT}: for so long that a cancellation might
+     * be missed; workers are left to their leases.
      */
     enum Phase { FOLLOWING, CAMPAIGNING, LEADING, HOLDING, SILENT }
 
@@ -46,6 +48,7 @@
     private final Mirror mirror;
     private final Timers timers;
     private final Listener listener;
+    private final BooleanSupplier othersOutOfTouch;
     private Phase phase = Phase.FOLLOWING;
     private long lease;
     private Term term;
@@ -54,11 +57,14 @@
     private long touchDueMicros;
     private long quietUntilMicros;
 
-    Leadership(Config config, StatePort state, Mirror mirror, Timers timers, Listener listener) {
+    /** @param othersOutOfTouch whether every other controller lately told that the state service doesn't answer it */
+    Leadership(Config config, StatePort state, Mirror mirror, Timers timers, BooleanSupplier othersOutOfTouch,
+               Listener listener) {
         this.config = config;
         this.state = state;
         this.mirror = mirror;
         this.timers = timers;
+        this.othersOutOfTouch = othersOutOfTouch;
         this.listener = listener;
     }
 
@@ -82,6 +88,15 @@
         return phase == Phase.LEADING;
     }
 
+    /**
+     * Whether a task may be started: a cancellation that some controller has confirmed must not have escaped us. Out
+     * of touch we can't tell that from an outage, unless all others say that they are out of touch as well: then none
+     * of them can have confirmed one.
+     */
+    boolean mayStart() {
+        return certain() || phase == Phase.HOLDING && othersOutOfTouch.getAsBoolean();
+    }
+
     /** When the last request was sent that the state service answered with our being the leader. */
     long confirmedMicros() {
         return confirmedMicros;
@@ -130,13 +145,20 @@
     /**
      * Checks the phase against the time that has passed. A process that stood still goes on with whatever came first,
      * a report that waited or a timer, in the phase from before its pause, while a successor may hold the machines.
+     * The time counts from the older of two words: that the lease is ours, and that the records were read. A
+     * cancellation shows in the records alone, and touches may get through while reads don't; when an outage ends the
+     * first touch comes before the first read.
      */
     private void reckon() {
-        long sinceContact = timers.nowMicros() - confirmedMicros;
-        if (phase == Phase.LEADING && sinceContact > config.tuning().leaderLeaseMicros()) {
-            transition(Phase.HOLDING, "no answer from the state service");
+        if (term == null) {
+            return;
         }
-        if (phase == Phase.HOLDING && sinceContact > config.holdMicros()) {
+        long sinceWord = timers.nowMicros() - Math.min(confirmedMicros, mirror.lastContactMicros());
+        if (sinceWord <= Math.min(config.tuning().leaderLeaseMicros(), config.holdMicros())) {
+            transition(Phase.LEADING, "the state service answers");
+        } else if (sinceWord <= config.holdMicros()) {
+            transition(Phase.HOLDING, "no answer from the state service");
+        } else {
             transition(Phase.SILENT, "a cancellation could have been missed for too long");
         }
     }
@@ -251,7 +273,7 @@
             touching = false;
             if (outcome == Outcome.OK) {
                 confirmedMicros = sent;
-                transition(Phase.LEADING, "the state service answers");
+                reckon();
             } else if (outcome == Outcome.NOT_FOUND) {
                 depose("our lease ran out");
             } else {
--- a/src/main/java/org/granitepath/coordination/PeerPort.java
+++ b/src/main/java/org/granitepath/coordination/PeerPort.java
@@ -10,6 +10,12 @@
      */
     record Greeting(String node, long contactAgeMicros, boolean owner, int turnedAway) {}
 
+    /** A cancellation that is on record, with the stamp of its record. */
+    record Cancelled(String job, long stamp) {}
+
+    /** Tells a peer of it; answered with whether it has taken that in. No rule rests on its arrival. */
+    void tell(String peer, Cancelled word, Consumer<Boolean> then);
+
     /** Tells a peer how we are; answered with how it is, or null. */
     void greet(String peer, Greeting ours, Consumer<Greeting> then);
 }
--- a/src/main/java/org/granitepath/coordination/Peers.java
+++ b/src/main/java/org/granitepath/coordination/Peers.java
@@ -12,6 +12,7 @@
 final class Peers {
     private static final long TICK_MICROS = 1_000_000;
     private static final long FRESH_MICROS = 3_500_000;
+    private static final long AFTER_LEASE_MICROS = 100_000;
 
     private record Heard(PeerPort.Greeting greeting, long atMicros) {}
 
@@ -54,6 +55,48 @@
                 .mapToInt(h -> h.greeting().turnedAway()).max().orElse(-1);
     }
 
+    /** Whether every peer was lately heard and told that the state service had not answered it for so long, or never. */
+    boolean allOutOfTouch(long ageMicros) {
+        long now = timers.nowMicros();
+        for (String peer : config.peers()) {
+            Heard h = heard.get(peer);
+            if (h == null || now - h.atMicros() >= FRESH_MICROS) {
+                return false;
+            }
+            long age = h.greeting().contactAgeMicros();
+            if (age >= 0 && age <= ageMicros) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Passes a cancellation on that is on record. {@code then} runs once no task of the job is started any more: when the
+     * owner has taken it in, or when an owner that we don't reach can no longer count as in touch with the records.
+     */
+    void tellCancelled(PeerPort.Cancelled word, String owner, Runnable then) {
+        boolean[] over = {!config.peers().contains(owner)};
+        for (String peer : config.peers()) {
+            port.tell(peer, word, taken -> {
+                if (taken && peer.equals(owner) && !over[0]) {
+                    over[0] = true;
+                    then.run();
+                }
+            });
+        }
+        if (over[0]) {
+            then.run();
+            return;
+        }
+        timers.after(Config.withDrift(config.tuning().leaderLeaseMicros()) + AFTER_LEASE_MICROS, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                then.run();
+            }
+        });
+    }
+
     /** Whether the owner was lately heard. */
     boolean ownerHeard() {
         long now = timers.nowMicros();
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -197,7 +197,7 @@
         while (job.waiting() > 0) {
             Machine m = dispatcher.teamAllows(job.spec) ? pick(job, now) : null;
             if (m == null) {
-                placed.forEach(p -> dispatcher.free(p, "the gang does not fit"));
+                placed.forEach(p -> dispatcher.withdraw(p, "the gang does not fit"));
                 return false;
             }
             placed.add(dispatcher.start(job, m, now));
--- a/src/main/java/org/granitepath/coordination/UserDesk.java
+++ b/src/main/java/org/granitepath/coordination/UserDesk.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.granitepath.bookkeeping.Fields;
@@ -25,6 +26,8 @@
  */
 final class UserDesk {
     private static final long SUBMIT_PATIENCE_MICROS = 4_000_000;
+    /** A cancellation may have to wait for an owner that is out of reach; users wait for five seconds. */
+    private static final long CANCEL_PATIENCE_MICROS = 4_700_000;
     private static final long POLL_PATIENCE_MICROS = 1_600_000;
     private static final int MOST_WAITING = 2_000;
     private static final int RETRY_SECONDS = 2;
@@ -40,12 +43,15 @@
     private final Timers timers;
     private final Ledger ledger;
     private final Supplier<Map<String, MachineType>> types;
+    /** Told of each cancellation that we have put on record; runs what it is given once the owner starts no more of it. */
+    private final BiConsumer<PeerPort.Cancelled, Runnable> cancelled;
     private final Map<String, Tickets> submitting = new LinkedHashMap<>();
     private final Map<String, Tickets> cancelling = new LinkedHashMap<>();
     private int waiting;
 
     UserDesk(Config config, StatePort state, Mirror mirror, JobBook book, Timers timers,
-             Supplier<Map<String, MachineType>> types) {
+             Supplier<Map<String, MachineType>> types, BiConsumer<PeerPort.Cancelled, Runnable> cancelled) {
+        this.cancelled = cancelled;
         this.config = config;
         this.mirror = mirror;
         this.book = book;
@@ -127,6 +133,10 @@
     // ---- polls -------------------------------------------------------------------------------------------------
 
     void poll(String id, Consumer<UserAnswer> then) {
+        if (confirming(id)) {
+            then.accept(later("its cancellation is being confirmed"));
+            return;
+        }
         if (book.finalOf(id) != null) {
             then.accept(status(id, false));
             return;
@@ -137,6 +147,10 @@
     // ---- cancellations -----------------------------------------------------------------------------------------
 
     void cancel(String id, Consumer<UserAnswer> then) {
+        if (confirming(id)) {
+            join(cancelling, id, then, CANCEL_PATIENCE_MICROS);
+            return;
+        }
         if (book.finalOf(id) != null) {
             then.accept(status(id, false));
             return;
@@ -153,19 +167,37 @@
     }
 
     private void recordCancellation(String id, Consumer<UserAnswer> then) {
-        Tickets tickets = join(cancelling, id, then, SUBMIT_PATIENCE_MICROS);
+        Tickets tickets = join(cancelling, id, then, CANCEL_PATIENCE_MICROS);
         if (tickets.waiting.size() > 1) {
             return;
         }
         String key = Keys.FINAL + id;
         ledger.want(key, Ledger.Urgency.SAFETY, 0, () -> {
             if (book.finalOf(id) != null) {
-                resolve(cancelling, id, status(id, false));
+                confirm(id);
                 return List.of();
             }
             return cancelling.containsKey(id)
                     ? List.of(Change.write(key, JobBook.finalRecord(JobBook.Final.CANCELLED))) : List.of();
-        }, epoch -> resolve(cancelling, id, status(id, false)));
+        }, epoch -> confirm(id));
+    }
+
+    /** Its cancellation is on record, and whoever asked for it has no answer yet. */
+    private boolean confirming(String id) {
+        return book.finalOf(id) == JobBook.Final.CANCELLED && cancelling.containsKey(id);
+    }
+
+    /**
+     * It is on record how the job ended. The answer to a cancellation promises that no task starts any more, and the owner
+     * may be out of touch with the records: so it is told first.
+     */
+    private void confirm(String id) {
+        if (book.finalOf(id) == JobBook.Final.CANCELLED) {
+            cancelled.accept(new PeerPort.Cancelled(id, mirror.stamp(Keys.FINAL + id)),
+                    () -> resolve(cancelling, id, status(id, false)));
+        } else {
+            resolve(cancelling, id, status(id, false));
+        }
     }
 
     // ---- helpers -----------------------------------------------------------------------------------------------
--- a/src/main/java/org/granitepath/protocol/PeerCodec.java
+++ b/src/main/java/org/granitepath/protocol/PeerCodec.java
@@ -1,6 +1,7 @@
 package org.granitepath.protocol;
 
 import java.io.IOException;
+import org.granitepath.coordination.PeerPort.Cancelled;
 import org.granitepath.coordination.PeerPort.Greeting;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -11,6 +12,7 @@
 public final class PeerCodec {
     private static final int VERSION = 2;
     private static final int FIELDS = 5;
+    private static final int CANCELLED_FIELDS = 3;
 
     private PeerCodec() {}
 
@@ -24,6 +26,28 @@
         }
     }
 
+    public static byte[] encode(Cancelled word) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(CANCELLED_FIELDS).packInt(VERSION).packString(word.job()).packLong(word.stamp());
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("packing in memory failed", e);
+        }
+    }
+
+    /** Null when it is no word of a cancellation that we understand. */
+    public static Cancelled decodeCancelled(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            if (unpacker.unpackArrayHeader() < CANCELLED_FIELDS || unpacker.unpackInt() != VERSION) {
+                return null;
+            }
+            Cancelled word = new Cancelled(unpacker.unpackString(), unpacker.unpackLong());
+            return SubmissionCodec.isJobId(word.job()) && word.stamp() > 0 ? word : null;
+        } catch (IOException | MessagePackException e) {
+            return null;
+        }
+    }
+
     /** Null when it is no greeting that we understand. */
     public static Greeting decode(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
--- a/src/main/java/org/granitepath/transport/BackServer.java
+++ b/src/main/java/org/granitepath/transport/BackServer.java
@@ -24,7 +24,7 @@
                     if (exchange.getRequestPath().equals("/metrics")) {
                         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
                         exchange.getResponseSender().send(metrics.text());
-                    } else if (exchange.getRequestPath().equals(PeerClient.PATH)) {
+                    } else if (exchange.getRequestPath().equals(PeerClient.GREETING)) {
                         exchange.getRequestReceiver().receiveFullBytes((ex, bytes) -> {
                             PeerPort.Greeting theirs = PeerCodec.decode(bytes);
                             if (theirs == null) {
@@ -34,6 +34,16 @@
                                         PeerCodec.encode(controller.greeted(theirs))));
                             }
                         });
+                    } else if (exchange.getRequestPath().equals(PeerClient.CANCELLED)) {
+                        exchange.getRequestReceiver().receiveFullBytes((ex, bytes) -> {
+                            PeerPort.Cancelled word = PeerCodec.decodeCancelled(bytes);
+                            if (word == null) {
+                                ex.setStatusCode(400);
+                            } else {
+                                controller.cancelledElsewhere(word);
+                            }
+                            ex.endExchange();
+                        });
                     } else {
                         exchange.setStatusCode(404).endExchange();
                     }
--- a/src/main/java/org/granitepath/transport/PeerClient.java
+++ b/src/main/java/org/granitepath/transport/PeerClient.java
@@ -8,7 +8,9 @@
 
 /** The other controllers' back addresses over HTTP. */
 public final class PeerClient implements PeerPort {
-    static final String PATH = "/greeting";
+    static final String GREETING = "/greeting";
+    static final String CANCELLED = "/cancelled";
+    private static final String TYPE = "application/msgpack";
     private static final long TIMEOUT_MICROS = 900_000;
 
     private final HttpCalls http;
@@ -21,7 +23,13 @@
 
     @Override
     public void greet(String peer, Greeting ours, Consumer<Greeting> then) {
-        http.exchange(addresses.get(peer), Methods.POST, PATH, PeerCodec.encode(ours), "application/msgpack",
+        http.exchange(addresses.get(peer), Methods.POST, GREETING, PeerCodec.encode(ours), TYPE,
                 TIMEOUT_MICROS, true, (status, body) -> then.accept(status == 200 ? PeerCodec.decode(body) : null));
     }
+
+    @Override
+    public void tell(String peer, Cancelled word, Consumer<Boolean> then) {
+        http.exchange(addresses.get(peer), Methods.POST, CANCELLED, PeerCodec.encode(word), TYPE, TIMEOUT_MICROS, true,
+                (status, body) -> then.accept(status == 200));
+    }
 }
--- a/src/test/java/org/granitepath/cli/MainTest.java
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -72,6 +72,27 @@
         assertTrue(e.getMessage().contains("idle-shar"), e.getMessage());
     }
 
+    /** Under these no rule could be kept, whatever the service does: the start ends with one line that names the setting. */
+    @Test
+    void impossibleTimesAndTeamsAreNamed() throws IOException {
+        assertInvalid("facts.workers.cancel_s", "cancel_s = 30.0", "cancel_s = 13.9");
+        assertInvalid("facts.workers.lease_s", "lease_s = 10.0", "lease_s = 1.9");
+        assertInvalid("team t", "cpus_max = 12.5", "cpus = 13.0\ncpus_max = 12.5");
+        assertInvalid("team t", "cpus_max = 12.5", "cpus_max = -1.0");
+    }
+
+    private void assertInvalid(String named, String good, String bad) throws IOException {
+        Path file = file("x.toml", GOOD.replace(good, bad));
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(file, null));
+        assertTrue(e.getMessage().contains(named) && !e.getMessage().contains("\n"), e.getMessage());
+    }
+
+    @Test
+    void leastTimesAreAccepted() throws Exception {
+        Settings s = Settings.read(file("y.toml", GOOD.replace("cancel_s = 30.0", "cancel_s = 14.1")), null);
+        assertTrue(s.config().holdMicros() >= 1_000_000);
+    }
+
     @Test
     void wrongUseEndsWithAStatus() throws IOException {
         assertEquals(Command.BAD_USE, Main.execute("serve", "--confg", "x"));
--- a/src/test/java/org/granitepath/protocol/CodecTest.java
+++ b/src/test/java/org/granitepath/protocol/CodecTest.java
@@ -71,5 +71,9 @@
         PeerPort.Greeting g = new PeerPort.Greeting("worker-1", 1234, true, 17);
         assertEquals(g, PeerCodec.decode(PeerCodec.encode(g)));
         assertNull(PeerCodec.decode(new byte[] {1, 2, 3}));
+        PeerPort.Cancelled word = new PeerPort.Cancelled("run-000412", 77);
+        assertEquals(word, PeerCodec.decodeCancelled(PeerCodec.encode(word)));
+        assertNull(PeerCodec.decodeCancelled(PeerCodec.encode(new PeerPort.Cancelled("no job", 77))));
+        assertNull(PeerCodec.decodeCancelled(new byte[] {1, 2, 3}));
     }
 }
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -1,6 +1,7 @@
 package org.granitepath.simulation;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.coordination.Config;
 import org.granitepath.coordination.TaskId;
@@ -19,6 +22,7 @@
 final class Rules {
     private static final long UNANSWERED_MICROS = 75_000_000;
     private static final long BEGIN_MICROS = 240_000_000;
+    private static final long NEGLECTED_MICROS = 90_000_000;
 
     private record Where(String host, String zone) {}
 
@@ -37,9 +41,19 @@
     private final Map<String, Long> answeredAt = new HashMap<>();
     private final Map<String, Long> begunAt = new HashMap<>();
     private final Map<String, Long> completedAt = new HashMap<>();
+    private final Map<String, Long> orderedAt = new HashMap<>();
+    private final Map<String, Long> couldRunSince = new HashMap<>();
+    private final Set<String> impossible = new HashSet<>();
+    private final Consumer<String> lastTaskDone;
     int starts;
 
     Rules(World world, Map<String, Config.Team> teams, long cancelMicros) {
+        this(world, teams, cancelMicros, job -> { });
+    }
+
+    /** @param lastTaskDone told of each job whose last task has just completed */
+    Rules(World world, Map<String, Config.Team> teams, long cancelMicros, Consumer<String> lastTaskDone) {
+        this.lastTaskDone = lastTaskDone;
         this.world = world;
         this.teams = teams;
         this.cancelMicros = cancelMicros;
@@ -100,7 +114,44 @@
 
     void completed(TaskId task) {
         completedAt.put(task.job(), world.now());
-        completed.computeIfAbsent(task.job(), j -> new HashSet<>()).add(task.index());
+        Set<Integer> done = completed.computeIfAbsent(task.job(), j -> new HashSet<>());
+        if (done.add(task.index()) && done.size() == submitted.get(task.job()).tasks()) {
+            lastTaskDone.accept(task.job());
+        }
+    }
+
+    /** A controller gives the command to start this task. */
+    void ordered(TaskId task) {
+        orderedAt.put(task.job(), world.now());
+        if (toldFinal.get(task.job()) == JobState.CANCELLED) {
+            breach("started_cancelled", "a start of " + task + " is sent after the cancellation was confirmed");
+        }
+    }
+
+    /** Jobs with a task on a machine, that nobody has cancelled. */
+    List<String> running() {
+        return on.keySet().stream().map(TaskId::job).filter(j -> !cancelAsked.contains(j)).distinct().sorted().toList();
+    }
+
+    /** CPUs that a team's tasks use. */
+    long usedBy(String team) {
+        return on.keySet().stream().map(t -> submitted.get(t.job())).filter(j -> j.team().equals(team))
+                .mapToLong(JobSpec::cpuMillis).sum();
+    }
+
+    Set<String> hostsOf(String job) {
+        Set<String> hosts = new TreeSet<>();
+        on.forEach((t, w) -> {
+            if (t.job().equals(job)) {
+                hosts.add(w.host());
+            }
+        });
+        return hosts;
+    }
+
+    /** Jobs of which users were told that they are cancelled, so far. */
+    int cancellationsTold() {
+        return (int) toldFinal.values().stream().filter(s -> s == JobState.CANCELLED).count();
     }
 
     /** After each step: nothing of a cancelled job may be left when its time is over. */
@@ -129,6 +180,43 @@
         }
     }
 
+    /**
+     * Once troubles are over, no job may be left waiting for so long while a machine would take one of its tasks and its
+     * team is under its limit. Called again and again; whoever is given a start begins to wait anew.
+     */
+    void checkWaiting(Collection<SimWorker> machines) {
+        Map<String, Integer> held = new HashMap<>();
+        Map<String, Set<String>> zones = new HashMap<>();
+        Map<String, Integer> inZone = new HashMap<>();
+        Map<String, Long> teamCpu = new HashMap<>();
+        for (SimWorker w : machines) {
+            w.held().forEach((job, n) -> {
+                held.merge(job, n, Integer::sum);
+                zones.computeIfAbsent(job, k -> new HashSet<>()).add(w.zone);
+                inZone.merge(job + w.zone, n, Integer::sum);
+                teamCpu.merge(submitted.get(job).team(), n * submitted.get(job).cpuMillis(), Long::sum);
+            });
+        }
+        for (String job : accepted) {
+            JobSpec s = submitted.get(job);
+            int left = s.tasks() - completed.getOrDefault(job, Set.of()).size() - held.getOrDefault(job, 0);
+            long limit = teams.get(s.team()).cpuLimit();
+            boolean could = left > 0 && !s.gang() && !cancelAsked.contains(job) && toldFinal.get(job) == null
+                    && (limit == 0 || teamCpu.getOrDefault(s.team(), 0L) + s.cpuMillis() <= limit)
+                    && machines.stream().anyMatch(w -> w.wouldTake(s)
+                    && (!s.oneZone() || Set.of(w.zone).containsAll(zones.getOrDefault(job, Set.of())))
+                    && (!s.spread() || inZone.getOrDefault(job + w.zone, 0) < s.zoneCap()));
+            if (!could) {
+                couldRunSince.remove(job);
+                continue;
+            }
+            long since = Math.max(couldRunSince.computeIfAbsent(job, k -> world.now()), orderedAt.getOrDefault(job, 0L));
+            if (world.now() - since > NEGLECTED_MICROS) {
+                breach("neglected", job + " of team " + s.team() + " waits with " + left + " tasks while a machine has room");
+            }
+        }
+    }
+
     /**
      * At least half of each class, of each team and of a class's largest jobs is served, and the largest begin in time.
      * A service is served when its tasks have run; other work when it is done.
@@ -171,6 +259,11 @@
         submittedAt.putIfAbsent(spec.id(), world.now());
     }
 
+    /** A job that fits nowhere: nobody may accept it. */
+    void submittingImpossible(String job) {
+        impossible.add(job);
+    }
+
     void cancelling(String job) {
         cancelAsked.add(job);
     }
@@ -205,6 +298,10 @@
         } else if (answer instanceof UserAnswer.Impossible && accepted.contains(job)) {
             breach("forgotten", job + " is called impossible");
         } else if (answer instanceof UserAnswer.Status s) {
+            if (impossible.contains(job)) {
+                breach("accepted_impossible", job + " can never run");
+                return;
+            }
             if (!submitted.containsKey(job)) {
                 breach("invented", job);
             }
--- a/src/test/java/org/granitepath/simulation/RulesTest.java
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -3,10 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Rank;
+import org.granitepath.coordination.Beat;
+import org.granitepath.coordination.BeatAnswer;
 import org.granitepath.coordination.Config;
+import org.granitepath.coordination.Order;
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.UserAnswer;
 import org.granitepath.coordination.UserAnswer.JobState;
@@ -26,8 +32,12 @@
     }
 
     private static JobSpec spec(String id, boolean spread, boolean oneZone) {
+        return spec(id, spread, oneZone, 1_000_000);
+    }
+
+    private static JobSpec spec(String id, boolean spread, boolean oneZone, long runMicros) {
         return new JobSpec(id, "c", "t", JobSpec.Shape.BATCH, Rank.HIGH, 2, 1_000, 0, 1_000, "i", 1, null, null, oneZone, spread,
-                false, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+                false, runMicros, 0, 0, JobSpec.NO_DEADLINE);
     }
 
     private void assertBroken(String rule) {
@@ -118,6 +128,77 @@
         assertBroken("forgotten");
     }
 
+    @Test
+    void startIsSentAfterACancellation() {
+        rules.ordered(new TaskId("run-1", 0));
+        rules.cancelling("run-1");
+        rules.told("run-1", status("run-1", JobState.CANCELLED));
+        assertTrue(rules.broken.isEmpty());
+        rules.ordered(new TaskId("run-1", 1));
+        assertBroken("started_cancelled");
+    }
+
+    @Test
+    void impossibleJobIsAccepted() {
+        rules.submittingImpossible("run-9");
+        rules.told("run-9", new UserAnswer.Impossible("too large"));
+        assertTrue(rules.broken.isEmpty());
+        rules.told("run-9", status("run-9", JobState.PENDING));
+        assertBroken("accepted_impossible");
+    }
+
+    /** A cancelled task on a machine that hung goes on with it. */
+    @Test
+    void cancelledTaskGoesOnAfterItsMachineHung() {
+        SimWorker worker = worker();
+        worker.orders(1, 1, List.of(Order.start(new TaskId("run-1", 0), 7)));
+        world.run(1_000_000, rules::check);
+        assertEquals(1, rules.usedBy("t") / 1_000);
+        rules.cancelling("run-1");
+        rules.told("run-1", status("run-1", JobState.CANCELLED));
+        worker.hang(true);
+        world.run(5_000_000, rules::check);
+        worker.hang(false);
+        world.run(10_900_000, rules::check);
+        assertTrue(rules.broken.isEmpty(), rules.broken.toString());
+        world.run(11_100_000, rules::check);
+        assertTrue(rules.broken.get(0).startsWith("ran_cancelled"), rules.broken.toString());
+    }
+
+    @Test
+    void jobIsLeftWaiting() {
+        SimWorker worker = worker();
+        rules.told("run-1", status("run-1", JobState.PENDING));
+        for (long at = 0; at <= 89; at++) {
+            world.run(at * 1_000_000, () -> { });
+            rules.checkWaiting(List.of(worker));
+        }
+        assertTrue(rules.broken.isEmpty(), rules.broken.toString());
+        world.run(91_000_000, () -> { });
+        rules.checkWaiting(List.of());
+        assertTrue(rules.broken.isEmpty(), "no machine is there");
+        for (long at = 92; at <= 183; at++) {
+            world.run(at * 1_000_000, () -> { });
+            rules.checkWaiting(List.of(worker));
+        }
+        assertBroken("neglected");
+    }
+
+    private SimWorker worker() {
+        return new SimWorker(world, rules, new SimWorker.Controllers() {
+            @Override
+            public List<String> names() {
+                return List.of("n");
+            }
+
+            @Override
+            public BeatAnswer beat(String node, Beat beat) {
+                return new BeatAnswer.Accepted(1, List.of());
+            }
+        }, job -> spec(job, false, false, 300_000_000), new HashSet<>(), "i-1", new MachineType("m", 4_000, 0, 4_000, 10, 1, 1, 1,
+                List.of("z")), "z", false, 1_000_000, 20_000_000);
+    }
+
     @Test
     void jobsNotServed() {
         rules.told("run-1", status("run-1", JobState.PENDING));
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -36,6 +36,7 @@
     private final Map<Long, Long> leaseLives = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Set<String> refused = new HashSet<>();
+    private final Set<String> blind = new HashSet<>();
     private final int txnOps;
     private final int valueBytes;
     private boolean outage;
@@ -48,6 +49,10 @@
     private final Map<String, Integer> writesByKey = new HashMap<>();
     private long epoch;
     private long leases;
+    /** Share of transactions that get no answer and are carried out seconds later, after newer ones. */
+    double lateWrites;
+    /** Transactions that changed something although they were carried out late. */
+    int lateSuccesses;
     int oversized;
     /** Acceptances that would hold whoever the owner is by then. */
     int unfenced;
@@ -74,6 +79,22 @@
         world.after(50_000, this::expire);
     }
 
+    void outage(long forMicros) {
+        setOutage(true);
+        world.after(forMicros, () -> setOutage(false));
+    }
+
+    void refuse(String node, long forMicros) {
+        refuse(node, true);
+        world.after(forMicros, () -> refuse(node, false));
+    }
+
+    /** This node's reads get no answer, while all else does. */
+    void blindFor(String node, long forMicros) {
+        blind.add(node);
+        world.after(forMicros, () -> blind.remove(node));
+    }
+
     void setOutage(boolean now) {
         if (outage && !now) {
             leaseEnds.replaceAll((id, end) -> world.now() + leaseLives.get(id));
@@ -207,9 +228,16 @@
         return new StatePort() {
             @Override
             public void commit(Txn txn, Consumer<Committed> then) {
-                world.call(node, NAME, TIMEOUT, () -> away(node, txn.changes().size())
-                        ? new Committed(Outcome.REFUSED, 0, List.of()) : SimState.this.commit(txn),
-                        c -> then.accept(c == null ? new Committed(Outcome.UNKNOWN, 0, List.of()) : c));
+                world.<Committed>callLater(node, NAME, TIMEOUT, answer -> {
+                    if (away(node, txn.changes().size())) {
+                        answer.accept(new Committed(Outcome.REFUSED, 0, List.of()));
+                    } else if (lateWrites > 0 && world.random.nextDouble() < lateWrites) {
+                        world.after(2_000_000 + world.random.nextInt(10_000_000), () -> lateSuccesses
+                                += !outage && SimState.this.commit(txn).outcome() == Outcome.OK ? 1 : 0);
+                    } else {
+                        answer.accept(SimState.this.commit(txn));
+                    }
+                }, c -> then.accept(c == null ? new Committed(Outcome.UNKNOWN, 0, List.of()) : c));
             }
 
             @Override
@@ -238,6 +266,9 @@
             public void follow(String prefix, long from, long waitMicros, Consumer<Page> then) {
                 reads++;
                 world.<Page>callLater(node, NAME, TIMEOUT + waitMicros, answer -> {
+                    if (blind.contains(node)) {
+                        return;
+                    }
                     if (away(node, 0)) {
                         answer.accept(new Page(Outcome.REFUSED, List.of(), false, 0));
                         return;
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -1,6 +1,7 @@
 package org.granitepath.simulation;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -106,6 +107,28 @@
         return runs.values().stream().anyMatch(r -> r.state == TaskState.RUNNING);
     }
 
+    /** Tasks that are here or on their way, by job. */
+    Map<String, Integer> held() {
+        Map<String, Integer> held = new HashMap<>();
+        runs.values().stream().filter(r -> r.state != TaskState.EXITED).forEach(r -> held.merge(r.task.job(), 1,
+                Integer::sum));
+        return held;
+    }
+
+    /** Whether one more such task fits here now, and could start. */
+    boolean wouldTake(JobSpec spec) {
+        long cpu = spec.cpuMillis();
+        long memory = spec.memoryMillis();
+        for (Run r : runs.values()) {
+            if (r.state != TaskState.EXITED) {
+                cpu += jobs.apply(r.task.job()).cpuMillis();
+                memory += jobs.apply(r.task.job()).memoryMillis();
+            }
+        }
+        return !dead && !hanging && !faulty && noticeEnd < 0 && cpu <= type.cpuMillis() && memory <= type.memoryMillis()
+                && spec.allowsType(type.name()) && spec.allowsZone(zone) && (spec.spot() || !spot);
+    }
+
     boolean alive() {
         return !dead;
     }
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -129,8 +129,11 @@
     private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
     private final Set<TaskId> results = new HashSet<>();
     private final Map<String, Integer> startsAsked = new HashMap<>();
+    private final Map<String, Integer> reportsAccepted = new HashMap<>();
     /** Controllers that users don't get to. */
     private final Set<String> unreachable = new HashSet<>();
+    /** Peers never pass cancellations on: what is safe must be safe without. */
+    boolean peersTellNothing;
     /** The most direct calls to machines that one controller had under way at once. */
     int mostCalls;
     private int submissions;
@@ -149,7 +152,7 @@
         this.shape = shape;
         names = IntStream.range(0, shape.controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
-        rules = new Rules(world, TEAMS, shape.cancel);
+        rules = new Rules(world, TEAMS, shape.cancel, this::endedOnMachines);
         state = new SimState(world, shape.txnOps, shape.valueBytes, shape.requests, shape.writes);
         List<MachineType> types = List.of(
                 new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
@@ -166,6 +169,7 @@
                         Controller c = nodes.get(node).controller;
                         BeatAnswer answer = c == null ? new BeatAnswer.Unavailable() : c.beat(beat);
                         if (answer instanceof BeatAnswer.Accepted a) {
+                            reportsAccepted.merge(node, 1, Integer::sum);
                             countStarts(beat.host(), a.orders());
                         }
                         return answer;
@@ -183,6 +187,7 @@
     }
 
     private void countStarts(String host, List<Order> orders) {
+        orders.stream().filter(o -> o.verb() == Order.Verb.START).forEach(o -> rules.ordered(o.task()));
         int starts = (int) orders.stream().filter(o -> o.verb() == Order.Verb.START).count();
         startsAsked.merge(host, starts, Integer::sum);
     }
@@ -193,12 +198,28 @@
     }
 
     private PeerPort peerPort(String node) {
-        return (peer, ours, then) -> world.<PeerPort.Greeting>callLater(node, peer, SECOND, answer -> {
-            Controller c = nodes.get(peer).controller;
-            if (c != null) {
-                answer.accept(c.greeted(ours));
+        return new PeerPort() {
+            @Override
+            public void greet(String peer, Greeting ours, Consumer<Greeting> then) {
+                world.<Greeting>callLater(node, peer, SECOND, answer -> {
+                    Controller c = nodes.get(peer).controller;
+                    if (c != null) {
+                        answer.accept(c.greeted(ours));
+                    }
+                }, then);
             }
-        }, then);
+
+            @Override
+            public void tell(String peer, Cancelled word, Consumer<Boolean> then) {
+                world.<Boolean>callLater(node, peer, SECOND, answer -> {
+                    Controller c = nodes.get(peer).controller;
+                    if (c != null && !peersTellNothing) {
+                        c.cancelledElsewhere(word);
+                        answer.accept(true);
+                    }
+                }, taken -> then.accept(taken != null));
+            }
+        };
     }
 
     private WorkerPort workerPort(String node) {
@@ -280,7 +301,11 @@
 
     /** A copy of a report arrives at the owner; its answer gets lost. */
     void deliver(Beat late) {
-        Controller c = nodes.get(owner()).controller;
+        deliver(owner(), late);
+    }
+
+    void deliver(String node, Beat late) {
+        Controller c = nodes.get(node).controller;
         if (c != null) {
             c.beat(late);
         }
@@ -322,11 +347,67 @@
         }
     }
 
+    /** Users call off so many jobs that run, within a fifth of a second; up to eight of their machines hang. */
+    List<String> cancelRunning(int count, long hangMicros) {
+        List<String> chosen = rules.running().stream().limit(count).toList();
+        List<String> hosts = chosen.stream().flatMap(j -> rules.hostsOf(j).stream()).distinct().limit(8).toList();
+        chosen.forEach(j -> world.after(world.random.nextInt(200_000), () -> cancel(j)));
+        cloud.workers().stream().filter(w -> hangMicros > 0 && hosts.contains(w.id)).forEach(w -> {
+            w.hang(true);
+            world.after(hangMicros, () -> w.hang(false));
+        });
+        return chosen;
+    }
+
+    /** Share of jobs that are called off at the very moment at which their last task ends. */
+    double cancelledAtEnd;
+
+    private void endedOnMachines(String job) {
+        if (cancelledAtEnd > 0 && world.random.nextDouble() < cancelledAtEnd) {
+            cancel(job);
+        }
+    }
+
+    /** Users repeat submissions, cancel what is done, and send jobs that can never run. */
+    void oddRequests(long forMicros) {
+        for (long at = 0; at < forMicros; at += 700_000) {
+            world.after(at, () -> {
+                List<String> known = List.copyOf(jobs.keySet());
+                if (!known.isEmpty()) {
+                    JobSpec spec = jobs.get(known.get(world.random.nextInt(known.size())));
+                    if (rules.acceptedJob(spec.id())) {
+                        ask(spec.id(), (c, then) -> c.submit(spec, then), answer -> { });
+                    }
+                    if (rules.finalTold(spec.id()) == JobState.DONE) {
+                        cancel(spec.id());
+                    }
+                }
+                JobSpec odd = withCpu(job(false, 3, Rank.STANDARD, "free", true, false, false, SECOND, 0), 3, 90_000);
+                rules.submittingImpossible(odd.id());
+                ask(odd.id(), (c, then) -> c.submit(odd, then), answer -> impossibleRefused
+                        += answer instanceof UserAnswer.Impossible ? 1 : 0);
+            });
+        }
+    }
+
+    int impossibleRefused;
+
     String owner() {
         return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner()).map(n -> n.name)
                 .findFirst().orElse(names.get(0));
     }
 
+    /** The owner other than this one, which may not know yet that it was deposed. */
+    String ownerBut(String former) {
+        return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner() && !n.name.equals(former))
+                .map(n -> n.name).findFirst().orElse(former);
+    }
+
+    /** How many reports this controller answered so far as one that may. */
+    int reportsAccepted(String node) {
+        return reportsAccepted.getOrDefault(node, 0);
+    }
+
     String anyNode() {
         return names.get(world.random.nextInt(names.size()));
     }
@@ -474,6 +555,7 @@
 
     private void watchKnown(long over) {
         rules.checkKnown(over);
+        rules.checkWaiting(cloud.workers());
         world.after(SECOND, () -> watchKnown(over));
     }
 }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -21,7 +21,7 @@
 class SimulationTest {
     private static final long SECOND = Simulation.SECOND;
 
-    private static void assertRules(Simulation s) {
+    static void assertRules(Simulation s) {
         assertEquals(List.of(), s.rules.broken.stream().distinct().limit(5).toList());
         assertTrue(s.rules.starts > 0, "nothing ran");
         assertEquals(0, s.state.oversized, "a transaction or a value over its limit");
@@ -29,13 +29,16 @@
     }
 
     /** Work must go on once the troubles are over. */
-    private static void assertRulesAndAllDone(Simulation s) {
+    static void assertRulesAndAllDone(Simulation s) {
         assertRules(s);
         assertEquals(List.of(), s.unfinishedBatches());
     }
 
     private static Simulation withJobs(long seed, int jobs, long overMicros) {
-        Simulation s = new Simulation(seed);
+        return withJobs(new Simulation(seed), jobs, overMicros);
+    }
+
+    static Simulation withJobs(Simulation s, int jobs, long overMicros) {
         for (int i = 0; i < jobs; i++) {
             s.world.after(2 * SECOND + (long) (s.world.random.nextDouble() * overMicros), () -> {
                 JobSpec spec = s.randomJob();
--- a/src/test/java/org/granitepath/simulation/World.java
+++ b/src/test/java/org/granitepath/simulation/World.java
@@ -30,6 +30,8 @@
     private final Map<String, ArrayDeque<Runnable>> frozenTimers = new HashMap<>();
     /** Share of requests of which a copy arrives once more, much later. */
     double lateCopies;
+    /** Share of packets that are held up for seconds. */
+    double heldUp;
     private long now;
     private long order;
 
@@ -102,7 +104,8 @@
             return;
         }
         long delay = 300 + random.nextInt(4_000) + (random.nextInt(500) == 0 ? 400_000 : 0);
-        after(delay, () -> arrive(to, arrive));
+        long more = heldUp > 0 && random.nextDouble() < heldUp ? 1_000_000 + random.nextInt(9_000_000) : 0;
+        after(delay + more, () -> arrive(to, arrive));
     }
 
     private void arrive(String host, Runnable packet) {
