No job is left waiting beside room; a test for starts that are held up past a later answer

Cause: work of which nothing is expected, or whose deadline is far, left full-price machines alone for as long as it could wait, 150 s and more where a part of it ran: 90 s beside room that nobody uses is what the users allow. A job now counts as patient for at most 75 s after its last start; one task then goes wherever there is room (Scheduler.patient).

--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -50,6 +50,8 @@
     Outlook.Turn turn = Outlook.Turn.ANY;
     /** Whether it can wait for cheap room. */
     boolean patient;
+    /** When a task of it was last placed; negative: not in this term. */
+    long lastStartMicros = -1;
     /** Since when tasks wait without room; negative when none does. */
     long waitingSinceMicros = -1;
 
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -829,6 +829,7 @@
 
     Placement start(ActiveJob job, Machine m, long now) {
         TaskId id = new TaskId(job.spec.id(), job.takeTask());
+        job.lastStartMicros = now;
         // The members of a gang find one another by their common attempt.
         if (!job.spec.gang() || job.placements.isEmpty()) {
             attempts++;
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -35,6 +35,9 @@
         }
     }
 
+    /** How long a job may wait for cheap room while other room stands empty: the users allow 90 s. */
+    private static final long LONGEST_BESIDE_ROOM_MICROS = 75_000_000;
+
     private final Config config;
     private final Dispatcher dispatcher;
     private final Collection<Machine> machines;
@@ -92,6 +95,7 @@
             dispatcher.start(job, m, now);
             dispatcher.claim(job);
             if (job.waiting() > 0 && job.hasClaimedTask()) {
+                job.patient = patient(job, now);
                 queue.add(candidate(job));
             }
         }
@@ -112,13 +116,19 @@
                 job.waitingSinceMicros = now;
             }
             if (job.hasClaimedTask()) {
-                job.patient = outlook.patient(job, 0, now);
+                job.patient = patient(job, now);
                 queue.add(candidate(job));
             }
         }
         return queue;
     }
 
+    /** However well a job could wait, it is not left without a start for long while room stands empty. */
+    private boolean patient(ActiveJob job, long now) {
+        return now - Math.max(job.waitingSinceMicros, job.lastStartMicros) < LONGEST_BESIDE_ROOM_MICROS
+                && outlook.patient(job, 0, now);
+    }
+
     private void findRoom(Collection<Candidate> wanting, long now) {
         long cpu = Long.MAX_VALUE;
         long memory = Long.MAX_VALUE;
--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -473,6 +473,53 @@
         assertRulesAndAllDone(s);
     }
 
+    /**
+     * Direct starts are held up while the leader's writes are refused, so that it can't draw new batons, and jobs are
+     * cancelled: later calls to the same machines, which hold stops alone, are answered. Their answers were once taken for
+     * those of the starts.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void startsHeldUpAndLaterCallsAnswered(long seed) {
+        Simulation s = new Simulation(seed, (seed % 2 == 0 ? LONG : SHORT).with(5, 1));
+        longWork(s, 2, 16, 25 * SECOND);
+        int[] told = new int[1];
+        s.world.after(40 * SECOND, () -> {
+            s.state.refuseWritesOf(s.owner(), 15 * SECOND);
+            s.heldStarts = 7 * SECOND;
+            told[0] = s.rules.cancellationsTold();
+        });
+        for (int i = 0; i < 12; i++) {
+            s.world.after((41 + i) * SECOND, () -> s.cancelRunning(1, 0));
+        }
+        s.world.after(55 * SECOND, () -> {
+            s.heldStarts = 0;
+            told[0] = s.rules.cancellationsTold() - told[0];
+        });
+        s.run(65 * SECOND, 500 * SECOND);
+        assertTrue(told[0] > 3, told[0] + " cancellations");
+        assertRulesAndAllDone(s);
+    }
+
+    /**
+     * Work of which nothing is expected leaves full-price machines alone, but not for so long that it is left waiting
+     * beside room that nobody else uses.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void patientWorkIsNotLeftWaitingBesideRoom(long seed) {
+        Simulation s = new Simulation(seed, (seed % 2 == 0 ? LONG : SHORT).with(3, 1));
+        JobSpec like = s.job(false, 1, Rank.STANDARD, "free", false, false, false, 600 * SECOND, 0);
+        s.submit(s.withCpu(like, 1, 9_000), -1); // holds a part of a full-price machine
+        // Fills the spot machines, and asks for no others.
+        s.submit(s.withoutDeadline(s.job(false, 30, Rank.STANDARD, "free", true, false, false, 300 * SECOND, 0)), -1);
+        JobSpec late = s.withoutDeadline(s.job(false, 2, Rank.BEST_EFFORT, "free", true, false, false, 20 * SECOND, 0));
+        s.world.after(60 * SECOND, () -> s.submit(late, -1));
+        s.run(20 * SECOND, 400 * SECOND);
+        assertTrue(s.rules.begunAfter(late.id()) > 30 * SECOND, "it found room at once");
+        assertRules(s);
+    }
+
     /** A few seeds in every build; by hand {@code -Dgranitepath.pairs=N} for more, {@code .pair=S} for one alone. */
     static LongStream pairs() {
         Long one = Long.getLong("granitepath.pair");
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -37,6 +37,7 @@
     private final List<Watch> watches = new ArrayList<>();
     private final Set<String> refused = new HashSet<>();
     private final Set<String> blind = new HashSet<>();
+    private final Set<String> readOnly = new HashSet<>();
     private final int txnOps;
     private final int valueBytes;
     private boolean outage;
@@ -89,6 +90,12 @@
         world.after(forMicros, () -> refuse(node, false));
     }
 
+    /** This node's transactions are refused, while all else of it is served. */
+    void refuseWritesOf(String node, long forMicros) {
+        readOnly.add(node);
+        world.after(forMicros, () -> readOnly.remove(node));
+    }
+
     /** This node's reads get no answer, while all else does. */
     void blindFor(String node, long forMicros) {
         blind.add(node);
@@ -229,7 +236,7 @@
             @Override
             public void commit(Txn txn, Consumer<Committed> then) {
                 world.<Committed>callLater(node, NAME, TIMEOUT, answer -> {
-                    if (away(node, txn.changes().size())) {
+                    if (away(node, txn.changes().size()) || readOnly.contains(node)) {
                         answer.accept(new Committed(Outcome.REFUSED, 0, List.of()));
                     } else if (lateWrites > 0 && world.random.nextDouble() < lateWrites) {
                         world.after(2_000_000 + world.random.nextInt(10_000_000), () -> lateSuccesses
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -132,6 +132,8 @@
     private final Map<String, Integer> reportsAccepted = new HashMap<>();
     /** Controllers that users don't get to. */
     private final Set<String> unreachable = new HashSet<>();
+    /** For how long direct calls that start tasks are held up on their way; others overtake them. */
+    long heldStarts;
     /** Peers never pass cancellations on: what is safe must be safe without. */
     boolean peersTellNothing;
     /** The most direct calls to machines that one controller had under way at once. */
@@ -229,14 +231,20 @@
             @Override
             public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
                 countStarts(address, orders);
-                call(address, w -> w.orders(baton, session, orders), then);
+                boolean starts = orders.stream().anyMatch(o -> o.verb() == Order.Verb.START);
+                call(address, starts ? heldStarts : 0, w -> w.orders(baton, session, orders), then);
             }
 
-            private void call(String address, java.util.function.Function<SimWorker, Reply> serve,
+            private void call(String address, long heldMicros, java.util.function.Function<SimWorker, Reply> serve,
                               Consumer<Reply> then) {
                 mostCalls = Math.max(mostCalls, ++calls);
-                world.<Reply>callLater(node, address, 2 * SECOND, answer -> serveWhenAwake(address, serve, answer),
-                        r -> {
+                world.<Reply>callLater(node, address, 2 * SECOND, answer -> {
+                    if (heldMicros > 0) {
+                        world.after(heldMicros, () -> serveWhenAwake(address, serve, answer));
+                    } else {
+                        serveWhenAwake(address, serve, answer);
+                    }
+                }, r -> {
                             calls--;
                             then.accept(r == null ? new Reply(false, null) : r);
                         });
@@ -435,6 +443,12 @@
                 j.estimateMicros(), j.checkpointMicros(), j.saveMicros(), j.deadlineMicros());
     }
 
+    JobSpec withoutDeadline(JobSpec j) {
+        return new JobSpec(j.id(), j.jobClass(), j.team(), j.shape(), j.rank(), j.tasks(), j.cpuMillis(), 0,
+                j.memoryMillis(), j.image(), j.imageGb(), j.types(), j.zone(), j.oneZone(), j.spread(), j.spot(),
+                j.estimateMicros(), j.checkpointMicros(), j.saveMicros(), JobSpec.NO_DEADLINE);
+    }
+
     JobSpec randomJob() {
         boolean service = world.random.nextInt(3) == 0;
         return job(service, 1 + world.random.nextInt(service ? 5 : 12), service ? Rank.CRITICAL
