--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -282,6 +282,11 @@
                     World.Cut.HOLD, 20 * SECOND));
             s.crash(s.owner(), 10 * SECOND);
             s.world.after(2 * SECOND, () -> s.cancelRunning(2, 0));
+            // Accepted in the new leader's own term, so nothing but the limit holds them back.
+            for (int i = 0; i < 8; i++) {
+                s.world.after(4 * SECOND + i * SECOND / 2, () -> s.submit(s.job(false, 3, Rank.STANDARD, "tight", true,
+                        false, false, 20 * SECOND, 0), -1));
+            }
         });
         s.run(80 * SECOND, 600 * SECOND);
         assertTrue(met[0], "the team was not at its limit");
@@ -473,6 +478,28 @@
         assertRulesAndAllDone(s);
     }
 
+    /**
+     * A leader's reads lag, for less than it takes to count as out of touch, while others confirm cancellations of jobs
+     * that it still starts tasks of. It is told by its peers, or, with odd seeds, the answer waits until it has to stop.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void cancelledWhileTheLeadersReadsLag(long seed) {
+        Simulation s = new Simulation(seed, (seed % 2 == 0 ? LONG : SHORT).with(5, 1));
+        s.peersTellNothing = seed % 2 == 1;
+        longWork(s, 1, 40, 3 * SECOND);
+        for (int i = 0; i < 8; i++) {
+            s.world.after((30 + 6 * i) * SECOND, () -> {
+                String leader = s.owner();
+                s.state.blindFor(leader, 2_500_000);
+                s.rules.running().stream().limit(6).forEach(j -> s.cancelAt(others(s, leader).get(0), j));
+            });
+        }
+        s.run(85 * SECOND, 500 * SECOND);
+        assertTrue(s.rules.cancellationsTold() > 10, s.rules.cancellationsTold() + " cancellations");
+        assertRulesAndAllDone(s);
+    }
+
     /**
      * Direct starts are held up while the leader's writes are refused, so that it can't draw new batons, and jobs are
      * cancelled: later calls to the same machines, which hold stops alone, are answered. Their answers were once taken for
