--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -223,6 +223,31 @@
         assertRulesAndAllDone(s);
     }
 
+    /**
+     * The same, when the leader's stops had not reached the zone's machines before: a deputy knows of the cancellations as
+     * of its last read, so for it the bound is no help, and it has to stop the tasks itself.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void cancelledBeforeTheirZoneIsCutOff(long seed) {
+        Simulation s = simulation(seed);
+        longWork(s, 6, 8, 200 * SECOND);
+        int[] told = new int[1];
+        s.world.after(60 * SECOND, () -> {
+            String zone = s.zoneOf(s.owner()).equals("south") ? "north" : "south";
+            s.cloud.workers().stream().filter(w -> w.zone.equals(zone)).forEach(w -> s.cut(s.owner(), w.id, World.Cut.DROP,
+                    60 * SECOND));
+            s.cancelRunning(10, 0);
+            s.world.after(6 * SECOND, () -> {
+                told[0] = s.rules.cancellationsTold();
+                s.cutZone(zone, World.Cut.DROP, 50 * SECOND);
+            });
+        });
+        s.run(125 * SECOND, 900 * SECOND);
+        assertEquals(10, told[0], "cancellations confirmed before the cut");
+        assertRulesAndAllDone(s);
+    }
+
     /** 9. All controllers are away for longer than a lease. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
