What is within a team's guarantee goes before borrowed work, and takes borrowed room back

A job is within its team's guarantee when it fits in along with the team's earlier unfinished jobs (Outlook). Such work goes after live services and before all else, the lowest share first within it, as ever. When it has waited for 2 s, what other teams run beyond their guarantee is stopped for it, where least is lost, and no more than they have borrowed (RoomMaker). Teams without a guarantee lend all they run; where no team has one, nothing changes.

--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -25,7 +25,11 @@
     }
 
     /** Limits in thousandths; 0: none. */
-    public record Team(String name, long cpuGuarantee, long cpuLimit, long gpuGuarantee, long gpuLimit) {}
+    public record Team(String name, long cpuGuarantee, long cpuLimit, long gpuGuarantee, long gpuLimit) {
+        public boolean hasGuarantee() {
+            return cpuGuarantee > 0 || gpuGuarantee > 0;
+        }
+    }
 
     /**
      * What is expected of a class: its tasks start within {@code waitMicros} (0: not said), its jobs end within this
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -868,6 +868,19 @@
         return teamLimits.allows(spec) && (!teamLimits.limits(spec) || inheritedLeft == 0 && strangersGone());
     }
 
+    /** CPUs that a team's tasks use beyond its guarantee, without those that are being stopped. */
+    long borrowedCpu(String team) {
+        long stopping = 0;
+        for (ActiveJob j : jobs.values()) {
+            if (j.spec.team().equals(team)) {
+                for (Placement p : j.placements.values()) {
+                    stopping += p.phase == Placement.Phase.STOPPING ? j.spec.cpuMillis() : 0;
+                }
+            }
+        }
+        return teamLimits.borrowedCpu(team) - stopping;
+    }
+
     private boolean strangersGone() {
         return machines.values().stream().noneMatch(m -> m.housekeeping.stream()
                 .anyMatch(o -> o.verb() == Order.Verb.STOP));
--- a/src/main/java/org/granitepath/coordination/Outlook.java
+++ b/src/main/java/org/granitepath/coordination/Outlook.java
@@ -1,5 +1,6 @@
 package org.granitepath.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -17,10 +18,10 @@
     private static final double USABLE = 0.9;
 
     /**
-     * Live services come first. Of the rest, jobs that can make their deadlines all together go before those that can
+     * Live services come first, then what is within its team's guarantee. Of the rest, jobs that can make their deadlines all together go before those that can
      * make the longest multiple that the aims name, and these before what is late all the same or has no deadline.
      */
-    enum Turn { LIVE, IN_TIME, NEARLY, ANY }
+    enum Turn { LIVE, GUARANTEED, IN_TIME, NEARLY, ANY }
 
     private record Due(ActiveJob job, double work, double micros) {}
 
@@ -75,6 +76,33 @@
             }
         }
         settle(extended, new ArrayList<>(), Turn.NEARLY, taken);
+        putGuaranteedFirst();
+    }
+
+    /**
+     * What is within its team's guarantee need not wait for other teams: a job is, when it fits into the guarantee along
+     * with the team's earlier unfinished jobs. All else that a team has is borrowed, and goes by turn and share.
+     */
+    private void putGuaranteedFirst() {
+        if (config.teams().values().stream().noneMatch(Config.Team::hasGuarantee)) {
+            return;
+        }
+        Object2LongOpenHashMap<String> cpu = new Object2LongOpenHashMap<>();
+        Object2LongOpenHashMap<String> gpu = new Object2LongOpenHashMap<>();
+        List<ActiveJob> byAge = new ArrayList<>(dispatcher.jobs());
+        byAge.sort(Comparator.comparingLong((ActiveJob j) -> j.acceptedMicros).thenComparing(j -> j.spec.id()));
+        for (ActiveJob j : byAge) {
+            Config.Team team = config.teams().get(j.spec.team());
+            if (j.phase != ActiveJob.Phase.OPEN || team == null || !team.hasGuarantee()) {
+                continue;
+            }
+            cpu.addTo(team.name(), j.left() * j.spec.cpuMillis());
+            gpu.addTo(team.name(), j.left() * j.spec.gpuMillis());
+            if (!isLive(j) && cpu.getLong(team.name()) <= team.cpuGuarantee()
+                    && gpu.getLong(team.name()) <= team.gpuGuarantee()) {
+                j.turn = Turn.GUARANTEED;
+            }
+        }
     }
 
     /**
--- a/src/main/java/org/granitepath/coordination/RoomMaker.java
+++ b/src/main/java/org/granitepath/coordination/RoomMaker.java
@@ -1,5 +1,6 @@
 package org.granitepath.coordination;
 
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,13 +11,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes room by stopping work of lower rank, where least is lost. Live services may stop anything below them at once;
- * jobs with a deadline only work that saves itself first. Tasks alike are decided as a class, in one look at the fleet.
+ * Makes room by stopping work, where least is lost. Live services may stop anything of lower rank at once; jobs with a
+ * deadline only work of lower rank that saves itself first; what is within its team's guarantee, after a moment's wait, also
+ * what other teams run beyond theirs. Tasks alike are decided as a class, in one look at the fleet.
  */
 final class RoomMaker {
     private static final Logger LOG = LoggerFactory.getLogger(RoomMaker.class);
     /** A task that has run for this long may be stopped for a job with a deadline. */
     private static final long SETTLED_MICROS = 10_000_000;
+    /** So long guaranteed work waits for room that becomes free by itself, before borrowed work is stopped for it. */
+    private static final long GUARANTEE_PATIENCE_MICROS = 2_000_000;
 
     /** What to stop on one machine so that at least one more task fits there. */
     private record Sacrifice(Machine machine, List<Placement> victims, double loss, int slots) {}
@@ -37,9 +41,13 @@
      */
     int makeRoom(ActiveJob job, int wanted, boolean withImageOnly, long now) {
         boolean live = Outlook.isLive(job);
-        if (!live && !job.spec.hasDeadline()) {
+        boolean reclaims = job.turn == Outlook.Turn.GUARANTEED
+                && now - job.waitingSinceMicros > GUARANTEE_PATIENCE_MICROS;
+        if (!live && !job.spec.hasDeadline() && !reclaims) {
             return 0;
         }
+        // What each other team can be made to give back; filled as its tasks are met.
+        Object2LongOpenHashMap<String> borrowed = new Object2LongOpenHashMap<>();
         int coming = 0;
         List<Sacrifice> offers = new ArrayList<>();
         for (Machine m : machines) {
@@ -51,7 +59,7 @@
             for (Placement p : m.placements.values()) {
                 if (p.phase == Placement.Phase.STOPPING) {
                     add(more, p.job.spec);
-                } else if (mayStopFor(job, live, p, now)) {
+                } else if (mayStopFor(job, live, p, now) || reclaims && lent(job, p, borrowed)) {
                     candidates.add(p);
                 }
             }
@@ -70,6 +78,9 @@
             if (coming >= wanted) {
                 break;
             }
+            if (!withinLoans(s, job, live, borrowed, now)) {
+                continue;
+            }
             for (Placement p : s.victims()) {
                 LOG.info("stopping {} on {} to make room for {}", p.task, s.machine().id, job.spec.id());
                 dispatcher.stop(p, live ? 0 : p.job.spec.saveMicros(), "room for " + job.spec.id());
@@ -101,6 +112,31 @@
         room[2] += s.memoryMillis();
     }
 
+    /** Whether this task is work that another team runs beyond its own guarantee. Live replicas are let be. */
+    private boolean lent(ActiveJob job, Placement p, Object2LongOpenHashMap<String> borrowed) {
+        String team = p.job.spec.team();
+        if (team.equals(job.spec.team()) || p.job.spec.service() || p.job.turn == Outlook.Turn.GUARANTEED) {
+            return false;
+        }
+        if (!borrowed.containsKey(team)) {
+            borrowed.put(team, dispatcher.borrowedCpu(team));
+        }
+        return borrowed.getLong(team) > 0;
+    }
+
+    /** No team is made to give back more than it has borrowed: counts the tasks of one machine that only loans explain. */
+    private static boolean withinLoans(Sacrifice s, ActiveJob job, boolean live, Object2LongOpenHashMap<String> borrowed,
+                                       long now) {
+        List<Placement> lent = s.victims().stream().filter(p -> !mayStopFor(job, live, p, now)).toList();
+        for (Placement p : lent) {
+            if (borrowed.getLong(p.job.spec.team()) <= 0) {
+                return false;
+            }
+        }
+        lent.forEach(p -> borrowed.addTo(p.job.spec.team(), -p.job.spec.cpuMillis()));
+        return true;
+    }
+
     private static boolean mayStopFor(ActiveJob job, boolean live, Placement p, long now) {
         JobSpec victim = p.job.spec;
         if (!job.spec.rank().above(victim.rank()) || victim.service()) {
--- a/src/main/java/org/granitepath/coordination/TeamLimits.java
+++ b/src/main/java/org/granitepath/coordination/TeamLimits.java
@@ -24,6 +24,12 @@
         gpu.addTo(s.team(), -s.gpuMillis());
     }
 
+    /** CPUs that a team uses beyond its guarantee: these are borrowed. */
+    long borrowedCpu(String team) {
+        Config.Team t = teams.get(team);
+        return cpu.getLong(team) - (t == null ? 0 : t.cpuGuarantee());
+    }
+
     boolean limits(JobSpec s) {
         Config.Team team = teams.get(s.team());
         return team != null && (team.cpuLimit() > 0 || team.gpuLimit() > 0);
--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -585,6 +585,11 @@
     void anyTwoTroublesMeet(long seed) {
         Simulation s = withJobs(simulation(seed), 35, 150 * SECOND);
         longWork(s, 4, 4, 60 * SECOND);
+        // Teams whose guarantees and limits bind: room is lent and taken back meanwhile.
+        for (int i = 0; i < 10; i++) {
+            s.world.after((5 + 14 * i) * SECOND, () -> s.submit(s.job(false, 1 + s.world.random.nextInt(8), Rank.STANDARD,
+                    s.world.random.nextBoolean() ? "granted" : "lender", true, false, false, 15 * SECOND, 0), -1));
+        }
         List<Consumer<Simulation>> troubles = troubles();
         for (int i = 0; i < 3; i++) {
             long at = (30 + 55 * i) * SECOND + s.world.random.nextInt(8_000_000);
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/GuaranteeTest.java
@@ -0,0 +1,98 @@
+package org.granitepath.simulation;
+
+import static org.granitepath.simulation.SimulationTest.assertRules;
+import static org.granitepath.simulation.SimulationTest.assertRulesAndAllDone;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Rank;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a team is guaranteed it gets, while others borrow all there is. */
+class GuaranteeTest {
+    private static final long SECOND = Simulation.SECOND;
+
+    private static JobSpec wide(Simulation s, String team, int tasks, long runMicros) {
+        return s.withoutDeadline(s.job(false, tasks, Rank.STANDARD, team, true, false, false, runMicros, 0));
+    }
+
+    /** A full site of borrowed work: the guaranteed job runs whole within seconds, with odd seeds across a change of owner. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void borrowedRoomIsGivenBack(long seed) {
+        Simulation s = new Simulation(seed, 3, 1);
+        for (int i = 0; i < 2; i++) {
+            s.submit(wide(s, "free", 35, 150 * SECOND), -1);
+        }
+        long[] used = new long[3];
+        s.world.after(60 * SECOND, () -> {
+            used[0] = s.rules.usedBy("free");
+            if (seed % 2 == 1) {
+                s.crash(s.owner(), 300_000);
+            }
+            s.submit(wide(s, "granted", 8, 30 * SECOND), -1);
+            // Beyond the guarantee it borrows like everybody else: nothing is stopped for that.
+            s.world.after(SECOND, () -> s.submit(wide(s, "granted", 5, 30 * SECOND), -1));
+        });
+        long within = seed % 2 == 1 ? 16 : 10;
+        for (long i = 1; i <= within; i++) {
+            s.world.after((60 + i) * SECOND, () -> {
+                used[1] = Math.max(used[1], s.rules.usedBy("granted"));
+                used[2] = s.rules.usedBy("free");
+            });
+        }
+        s.run(80 * SECOND, 900 * SECOND);
+        assertTrue(used[0] > 20_000, "the others use only " + used[0]);
+        assertTrue(used[1] >= 16_000, "the guaranteed team uses " + used[1]);
+        assertTrue(used[2] >= used[0] - 20_000, "the others were left " + used[2] + " of " + used[0]);
+        assertRulesAndAllDone(s);
+    }
+
+    /** A job that goes beyond its team's guarantee is borrowed in part: no more than that part is taken back. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void nobodyGivesBackMoreThanItBorrowed(long seed) {
+        Simulation s = new Simulation(seed, 3, 1);
+        s.submit(wide(s, "free", 10, 300 * SECOND), -1);
+        // Of low rank, so that stopping it costs least, and on all machines, so that many of its tasks could go at once.
+        s.submit(s.withoutDeadline(s.job(false, 10, Rank.BEST_EFFORT, "lender", true, false, false, 300 * SECOND, 0)), -1);
+        long[] lent = {0, Long.MAX_VALUE, 0};
+        s.world.after(60 * SECOND, () -> {
+            lent[0] = s.rules.usedBy("lender");
+            s.submit(wide(s, "free", 40, 300 * SECOND), -1);
+        });
+        s.world.after(75 * SECOND, () -> s.submit(wide(s, "granted", 8, 60 * SECOND), -1));
+        for (long i = 1; i <= 12; i++) {
+            s.world.after((75 + i) * SECOND, () -> {
+                lent[1] = Math.min(lent[1], s.rules.usedBy("lender"));
+                lent[2] = Math.max(lent[2], s.rules.usedBy("granted"));
+            });
+        }
+        s.run(90 * SECOND);
+        assertRules(s);
+        assertTrue(lent[0] == 20_000 && lent[2] >= 16_000, "the lender used " + lent[0] + ", the other got " + lent[2]);
+        assertTrue(lent[1] >= 16_000, "the lender was left " + lent[1]);
+    }
+
+    /** A team with many jobs at once: guaranteed work of another does not wait behind the swarm. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aSwarmDoesNotStarveOthers(long seed) {
+        Simulation s = new Simulation(seed, 3, 1);
+        for (int i = 0; i < 40; i++) {
+            s.submit(wide(s, "free", 5, 12 * SECOND), -1);
+        }
+        JobSpec[] granted = new JobSpec[6];
+        for (int i = 0; i < granted.length; i++) {
+            granted[i] = wide(s, "granted", 3, 10 * SECOND);
+            JobSpec j = granted[i];
+            s.world.after((30 + 12 * i) * SECOND, () -> s.submit(j, -1));
+        }
+        s.run(300 * SECOND);
+        assertRules(s);
+        for (JobSpec j : granted) {
+            assertTrue(s.rules.begunAfter(j.id()) < 6 * SECOND, "begun after " + s.rules.begunAfter(j.id()) / 1e6 + " s");
+        }
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -32,7 +32,9 @@
     private static final List<String> ZONES = List.of("north", "south");
     private static final Map<String, Config.Team> TEAMS = Map.of(
             "free", new Config.Team("free", 0, 0, 0, 0),
-            "tight", new Config.Team("tight", 0, 12_000, 0, 0));
+            "tight", new Config.Team("tight", 0, 12_000, 0, 0),
+            "granted", new Config.Team("granted", 16_000, 24_000, 0, 0),
+            "lender", new Config.Team("lender", 16_000, 0, 0, 0));
 
     private final class Node implements Timers {
         final String name;
