Guaranteed work takes room back only when it got no start for two seconds

A guaranteed job that was being served stopped borrowed work again and again, since its wait counted from its first waiting task; what was stopped started elsewhere and was stopped there for the next, some tasks 37 times.

Now the wait counts from its last start.

--- a/src/main/java/org/granitepath/coordination/RoomMaker.java
+++ b/src/main/java/org/granitepath/coordination/RoomMaker.java
@@ -19,7 +19,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(RoomMaker.class);
     /** A task that has run for this long may be stopped for a job with a deadline. */
     private static final long SETTLED_MICROS = 10_000_000;
-    /** So long guaranteed work waits for room that becomes free by itself, before borrowed work is stopped for it. */
+    /**
+     * So long guaranteed work waits after its last start for room that becomes free by itself, before borrowed work is
+     * stopped for it. Without this each freed place went back and forth: what was stopped started elsewhere, and was
+     * stopped there for the next.
+     */
     private static final long GUARANTEE_PATIENCE_MICROS = 2_000_000;
 
     /** What to stop on one machine so that at least one more task fits there. */
@@ -42,7 +46,7 @@
     int makeRoom(ActiveJob job, int wanted, boolean withImageOnly, long now) {
         boolean live = Outlook.isLive(job);
         boolean reclaims = job.turn == Outlook.Turn.GUARANTEED
-                && now - job.waitingSinceMicros > GUARANTEE_PATIENCE_MICROS;
+                && now - Math.max(job.waitingSinceMicros, job.lastStartMicros) > GUARANTEE_PATIENCE_MICROS;
         if (!live && !job.spec.hasDeadline() && !reclaims) {
             return 0;
         }
