--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -134,6 +134,28 @@
         assertRulesAndAllDone(s);
     }
 
+    /** The same, when the machines are only cut off, all that hold a job, and the leader changes: its zone is in doubt. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void jobsOfOneZoneInDoubt(long seed) {
+        Simulation s = simulation(seed);
+        for (int i = 0; i < 6; i++) {
+            s.submit(s.job(false, 21, Rank.STANDARD, "free", true, false, true, 40 * SECOND, 0), -1);
+        }
+        int[] cut = new int[1];
+        s.world.after(40 * SECOND, () -> {
+            Set<String> hosts = new HashSet<>();
+            s.rules.running().stream().limit(3).forEach(j -> hosts.addAll(s.rules.hostsOf(j)));
+            cut[0] = hosts.size();
+            s.cloud.workers().stream().filter(w -> hosts.contains(w.id)).forEach(w -> s.cutMachine(w, World.Cut.HOLD,
+                    10 * SECOND));
+            s.crash(s.owner(), 6 * SECOND);
+        });
+        s.run(60 * SECOND, 700 * SECOND);
+        assertTrue(cut[0] > 2, cut[0] + " machines were cut off");
+        assertRulesAndAllDone(s);
+    }
+
     /** 5. Transactions without an answer are carried out late, after newer ones of the same controller. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
