A confirmation also outwaits the last greeting that said we were out of touch

By reading: an owner out of touch goes by the greetings of its peers, up to 3.5 s old, when all say that they are out of touch as well. The answer to a cancellation waited 3.1 s for an owner out of reach; a peer that had just come back into touch could thus confirm one 0.4 s before the owner stopped believing its last greeting. It now waits for the longer of the two.

--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -65,19 +65,21 @@
                     }
                 });
         this.peers = new Peers(config, peerPort, timers, this::greeting);
-        this.leadership = new Leadership(config, state, mirror, timers, () -> peers.allOutOfTouch(CUT_OFF_MICROS), new Leadership.Listener() {
-            @Override
-            public void elected(Leadership.Term term) {
-                takeOffice(term);
-            }
+        this.leadership = new Leadership(config, state, mirror, timers, () -> peers.allOutOfTouch(CUT_OFF_MICROS),
+                new Leadership.Listener() {
+                    @Override
+                    public void elected(Leadership.Term term) {
+                        takeOffice(term);
+                    }
 
-            @Override
-            public void deposed(String why) {
-                leaveOffice();
-            }
-        });
+                    @Override
+                    public void deposed(String why) {
+                        leaveOffice();
+                    }
+                });
         this.deputy = new Deputy(config, mirror, book, peers, timers);
-        this.desk = new UserDesk(config, state, mirror, book, timers, () -> types, (word, then) -> peers.tellCancelled(word, leadership.ownerNode(), then));
+        this.desk = new UserDesk(config, state, mirror, book, timers, () -> types,
+                (word, then) -> peers.tellCancelled(word, leadership.ownerNode(), then));
     }
 
     public void start() {
--- a/src/main/java/org/granitepath/coordination/Outlook.java
+++ b/src/main/java/org/granitepath/coordination/Outlook.java
@@ -18,8 +18,9 @@
     private static final double USABLE = 0.9;
 
     /**
-     * Live services come first, then what is within its team's guarantee. Of the rest, jobs that can make their deadlines all together go before those that can
-     * make the longest multiple that the aims name, and these before what is late all the same or has no deadline.
+     * Live services come first, then what is within its team's guarantee. Of the rest, jobs that can make their deadlines
+     * all together go before those that can make the longest multiple that the aims name, and these before what is late
+     * all the same or has no deadline.
      */
     enum Turn { LIVE, GUARANTEED, IN_TIME, NEARLY, ANY }
 
--- a/src/main/java/org/granitepath/coordination/Peers.java
+++ b/src/main/java/org/granitepath/coordination/Peers.java
@@ -12,7 +12,7 @@
 final class Peers {
     private static final long TICK_MICROS = 1_000_000;
     private static final long FRESH_MICROS = 3_500_000;
-    private static final long AFTER_LEASE_MICROS = 100_000;
+    private static final long SURELY_OVER_MICROS = 100_000;
 
     private record Heard(PeerPort.Greeting greeting, long atMicros) {}
 
@@ -73,7 +73,8 @@
 
     /**
      * Passes a cancellation on that is on record. {@code then} runs once no task of the job is started any more: when the
-     * owner has taken it in, or when an owner that we don't reach can no longer count as in touch with the records.
+     * owner has taken it in, or when an owner that we don't reach can no longer count as in touch with the records, nor
+     * go by an earlier greeting of ours that told it that we were out of touch.
      */
     void tellCancelled(PeerPort.Cancelled word, String owner, Runnable then) {
         boolean[] over = {!config.peers().contains(owner)};
@@ -89,7 +90,8 @@
             then.run();
             return;
         }
-        timers.after(Config.withDrift(config.tuning().leaderLeaseMicros()) + AFTER_LEASE_MICROS, () -> {
+        long longest = Math.max(config.tuning().leaderLeaseMicros(), FRESH_MICROS);
+        timers.after(Config.withDrift(longest) + SURELY_OVER_MICROS, () -> {
             if (!over[0]) {
                 over[0] = true;
                 then.run();
