--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -14,10 +14,9 @@
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.Rank;
 import org.granitepath.coordination.Beat;
-import org.granitepath.coordination.UserAnswer.JobState;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -406,19 +405,21 @@
     void reportsOfBeforeArriveAtTheNewLeader(long seed) {
         Simulation s = simulation(seed);
         longWork(s, 5, 8, 20 * SECOND);
-        boolean[] changed = new boolean[1];
+        int[] met = new int[2];
         s.world.after(45 * SECOND, () -> {
+            int batons = s.state.writesOf(Keys.BATON);
             String former = s.owner();
             List<Beat> held = s.cloud.workers().stream().map(SimWorker::latest).toList();
             s.crash(former, 300_000);
             s.world.after(9 * SECOND, () -> {
-                changed[0] = true;
+                met[0] = held.size();
+                met[1] = s.state.writesOf(Keys.BATON) - batons;
                 held.forEach(b -> s.names.forEach(n -> s.deliver(n, b)));
             });
             s.world.after(3 * s.shape.lease(), () -> held.forEach(s::deliver));
         });
         s.run(50 * SECOND + 3 * s.shape.lease(), 400 * SECOND);
-        assertTrue(changed[0]);
+        assertTrue(met[0] > 2 && met[1] > 0, met[0] + " reports held back, " + met[1] + " batons drawn meanwhile");
         assertRulesAndAllDone(s);
     }
 
@@ -436,8 +437,7 @@
                 if (old == null) {
                     return;
                 }
-                w.hang(true);
-                s.world.after(s.shape.lease() + 3 * SECOND, () -> w.hang(false));
+                w.hangFor(s.shape.lease() + 3 * SECOND);
                 for (int k = 1; k < 5; k++) {
                     s.world.after(k * s.shape.lease() / 2, () -> {
                         delivered[0]++;
@@ -672,15 +672,9 @@
                 s -> someMachines(s, w -> s.deafen(w, time(s))),
                 s -> someMachines(s, w -> s.mute(w, time(s))),
                 s -> someMachines(s, w -> s.cutMachine(w, cut(s), time(s))),
-                s -> someMachines(s, w -> {
-                    w.hang(true);
-                    s.world.after(time(s), () -> w.hang(false));
-                }),
+                s -> someMachines(s, w -> w.hangFor(time(s))),
                 s -> someMachines(s, w -> s.world.after(s.world.random.nextInt(3_000_000), w::die)),
                 s -> s.oddRequests(time(s)),
-                s -> {
-                    s.cloud.setOutage(true);
-                    s.world.after(time(s), () -> s.cloud.setOutage(false));
-                });
+                s -> s.cloud.outage(time(s)));
     }
 }
--- a/src/test/java/org/granitepath/simulation/SimCloud.java
+++ b/src/test/java/org/granitepath/simulation/SimCloud.java
@@ -50,8 +50,9 @@
         snapshot();
     }
 
-    void setOutage(boolean now) {
-        outage = now;
+    void outage(long forMicros) {
+        outage = true;
+        world.after(forMicros, () -> outage = false);
     }
 
     List<SimWorker> workers() {
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -102,7 +102,7 @@
         world.after(forMicros, () -> blind.remove(node));
     }
 
-    void setOutage(boolean now) {
+    private void setOutage(boolean now) {
         if (outage && !now) {
             leaseEnds.replaceAll((id, end) -> world.now() + leaseLives.get(id));
         }
@@ -110,7 +110,7 @@
         wake();
     }
 
-    void refuse(String node, boolean now) {
+    private void refuse(String node, boolean now) {
         if (now) {
             refused.add(node);
         } else {
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -115,17 +114,23 @@
         return held;
     }
 
-    /** Whether one more such task fits here now, and could start. */
-    boolean wouldTake(JobSpec spec) {
+    /** Whether such a task fits beside all that is here, {@code itself} aside. */
+    private boolean hasRoom(JobSpec spec, Run itself) {
         long cpu = spec.cpuMillis();
         long memory = spec.memoryMillis();
         for (Run r : runs.values()) {
-            if (r.state != TaskState.EXITED) {
-                cpu += jobs.apply(r.task.job()).cpuMillis();
-                memory += jobs.apply(r.task.job()).memoryMillis();
+            if (r != itself && r.state != TaskState.EXITED) {
+                JobSpec s = jobs.apply(r.task.job());
+                cpu += s.cpuMillis();
+                memory += s.memoryMillis();
             }
         }
-        return !dead && !hanging && !faulty && noticeEnd < 0 && cpu <= type.cpuMillis() && memory <= type.memoryMillis()
+        return cpu <= type.cpuMillis() && memory <= type.memoryMillis();
+    }
+
+    /** Whether one more such task fits here now, and could start. */
+    boolean wouldTake(JobSpec spec) {
+        return !dead && !hanging && !faulty && noticeEnd < 0 && hasRoom(spec, null)
                 && spec.allowsType(type.name()) && spec.allowsZone(zone) && (spec.spot() || !spot);
     }
 
@@ -148,6 +153,11 @@
         }
     }
 
+    void hangFor(long micros) {
+        hang(true);
+        world.after(micros, () -> hang(false));
+    }
+
     void notice(long micros) {
         noticeEnd = world.now() + micros;
         changed = true;
@@ -325,19 +335,9 @@
             r.cause = Cause.UNKNOWN_JOB;
             return;
         }
-        long cpu = spec.cpuMillis();
-        long memory = spec.memoryMillis();
-        boolean busy = false;
-        for (Iterator<Run> it = runs.values().iterator(); it.hasNext(); ) {
-            Run other = it.next();
-            if (other != r && other.state != TaskState.EXITED) {
-                JobSpec s = jobs.apply(other.task.job());
-                cpu += s.cpuMillis();
-                memory += s.memoryMillis();
-                busy |= other.task.equals(r.task);
-            }
-        }
-        if (busy || cpu > type.cpuMillis() || memory > type.memoryMillis()) {
+        boolean busy = runs.values().stream().anyMatch(other -> other != r && other.state != TaskState.EXITED
+                && other.task.equals(r.task));
+        if (busy || !hasRoom(spec, r)) {
             r.state = TaskState.EXITED;
             r.cause = busy ? Cause.BUSY : Cause.NO_ROOM;
             return;
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.Rank;
@@ -138,6 +139,10 @@
     long heldStarts;
     /** Peers never pass cancellations on: what is safe must be safe without. */
     boolean peersTellNothing;
+    /** Share of jobs that are called off at the very moment at which their last task ends. */
+    double cancelledAtEnd;
+    /** Jobs that can never run, and were told so. */
+    int impossibleRefused;
     /** The most direct calls to machines that one controller had under way at once. */
     int mostCalls;
     private int submissions;
@@ -191,9 +196,12 @@
     }
 
     private void countStarts(String host, List<Order> orders) {
-        orders.stream().filter(o -> o.verb() == Order.Verb.START).forEach(o -> rules.ordered(o.task()));
-        int starts = (int) orders.stream().filter(o -> o.verb() == Order.Verb.START).count();
-        startsAsked.merge(host, starts, Integer::sum);
+        for (Order o : orders) {
+            if (o.verb() == Order.Verb.START) {
+                rules.ordered(o.task());
+                startsAsked.merge(host, 1, Integer::sum);
+            }
+        }
     }
 
     /** How many starts this machine was ever told, heard or not. */
@@ -234,22 +242,18 @@
             public void send(String address, long baton, long session, List<Order> orders, Consumer<Reply> then) {
                 countStarts(address, orders);
                 boolean starts = orders.stream().anyMatch(o -> o.verb() == Order.Verb.START);
-                call(address, starts ? heldStarts : 0, w -> w.orders(baton, session, orders), then);
-            }
-
-            private void call(String address, long heldMicros, java.util.function.Function<SimWorker, Reply> serve,
-                              Consumer<Reply> then) {
                 mostCalls = Math.max(mostCalls, ++calls);
                 world.<Reply>callLater(node, address, 2 * SECOND, answer -> {
-                    if (heldMicros > 0) {
-                        world.after(heldMicros, () -> serveWhenAwake(address, serve, answer));
+                    Runnable serve = () -> serveWhenAwake(address, w -> w.orders(baton, session, orders), answer);
+                    if (starts && heldStarts > 0) {
+                        world.after(heldStarts, serve);
                     } else {
-                        serveWhenAwake(address, serve, answer);
+                        serve.run();
                     }
                 }, r -> {
-                            calls--;
-                            then.accept(r == null ? new Reply(false, null) : r);
-                        });
+                    calls--;
+                    then.accept(r == null ? new Reply(false, null) : r);
+                });
             }
 
             // A hanging machine carries commands out when it goes on.
@@ -362,16 +366,10 @@
         List<String> chosen = rules.running().stream().limit(count).toList();
         List<String> hosts = chosen.stream().flatMap(j -> rules.hostsOf(j).stream()).distinct().limit(8).toList();
         chosen.forEach(j -> world.after(world.random.nextInt(200_000), () -> cancel(j)));
-        cloud.workers().stream().filter(w -> hangMicros > 0 && hosts.contains(w.id)).forEach(w -> {
-            w.hang(true);
-            world.after(hangMicros, () -> w.hang(false));
-        });
+        cloud.workers().stream().filter(w -> hangMicros > 0 && hosts.contains(w.id)).forEach(w -> w.hangFor(hangMicros));
         return chosen;
     }
 
-    /** Share of jobs that are called off at the very moment at which their last task ends. */
-    double cancelledAtEnd;
-
     private void endedOnMachines(String job) {
         if (cancelledAtEnd > 0 && world.random.nextDouble() < cancelledAtEnd) {
             cancel(job);
@@ -400,17 +398,18 @@
         }
     }
 
-    int impossibleRefused;
-
     String owner() {
-        return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner()).map(n -> n.name)
-                .findFirst().orElse(names.get(0));
+        return ownersBut(null).findFirst().orElse(names.get(0));
     }
 
     /** The owner other than this one, which may not know yet that it was deposed. */
     String ownerBut(String former) {
-        return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner() && !n.name.equals(former))
-                .map(n -> n.name).findFirst().orElse(former);
+        return ownersBut(former).findFirst().orElse(former);
+    }
+
+    private Stream<String> ownersBut(String one) {
+        return nodes.values().stream().filter(n -> n.controller != null && n.controller.owner()).map(n -> n.name)
+                .filter(n -> !n.equals(one));
     }
 
     /** How many reports this controller answered so far as one that may. */
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -87,19 +87,9 @@
             case 2 -> s.names.forEach(n -> s.crash(n, SECOND + random.nextInt(4_000_000)));
             case 3 -> s.cut(s.owner(), SimState.NAME, how, time);
             case 4 -> s.cutFromWorkers(s.owner(), how, time);
-            case 5 -> {
-                s.state.setOutage(true);
-                s.world.after(time, () -> s.state.setOutage(false));
-            }
-            case 6 -> {
-                s.cloud.setOutage(true);
-                s.world.after(time, () -> s.cloud.setOutage(false));
-            }
-            case 7 -> {
-                String node = s.owner();
-                s.state.refuse(node, true);
-                s.world.after(time, () -> s.state.refuse(node, false));
-            }
+            case 5 -> s.state.outage(time);
+            case 6 -> s.cloud.outage(time);
+            case 7 -> s.state.refuse(s.owner(), time);
             case 8 -> s.cutZone(s.zoneOf(s.anyNode()), how, time);
             case 9 -> s.freeze(s.owner(), time);
             default -> machineTrouble(s, how, time);
@@ -113,10 +103,7 @@
         }
         switch (s.world.random.nextInt(5)) {
             case 0 -> w.die();
-            case 1 -> {
-                w.hang(true);
-                s.world.after(time, () -> w.hang(false));
-            }
+            case 1 -> w.hangFor(time);
             case 2 -> s.cutMachine(w, how, time);
             case 3 -> {
                 w.notice(8 * SECOND);
@@ -327,9 +314,8 @@
                 2048, 8, 1_000));
         s.submit(s.job(true, 2, Rank.CRITICAL, "free", false, true, false, 0, 0), -1);
         // In an outage no successor is found, and the owner is the owner still when all goes on.
-        s.world.after(60 * SECOND, () -> s.state.setOutage(true));
+        s.world.after(60 * SECOND, () -> s.state.outage(12_900_000));
         s.world.after(61 * SECOND, () -> s.freeze(s.owner(), 12 * SECOND));
-        s.world.after(72_900_000, () -> s.state.setOutage(false));
         s.run(85 * SECOND, 200 * SECOND);
         assertRules(s);
         assertEquals(List.of(), s.cloud.returnedBusy, "returned with tasks on them");
@@ -430,8 +416,7 @@
             s.world.after(21 * SECOND + i * 2 * SECOND, () -> {
                 SimWorker w = s.anyWorker();
                 if (w != null) {
-                    w.hang(true);
-                    s.world.after(100_000 + s.world.random.nextInt(800_000), () -> w.hang(false));
+                    w.hangFor(100_000 + s.world.random.nextInt(800_000));
                 }
             });
         }
@@ -460,8 +445,7 @@
         });
         s.world.after(49 * SECOND, () -> s.crash(s.owner(), 300_000));
         s.world.after(70 * SECOND, () -> s.names.forEach(n -> s.crash(n, SECOND)));
-        s.world.after(75 * SECOND, () -> s.state.setOutage(true));
-        s.world.after(85 * SECOND, () -> s.state.setOutage(false));
+        s.world.after(75 * SECOND, () -> s.state.outage(10 * SECOND));
         s.run(100 * SECOND, 300 * SECOND);
         assertTrue(most[0] > 150, "only " + most[0] + " machines");
         assertRulesAndAllDone(s);
