--- a/src/main/java/org/granitepath/bookkeeping/InventoryRecord.java
+++ b/src/main/java/org/granitepath/bookkeeping/InventoryRecord.java
@@ -16,13 +16,23 @@
     }
 
     /** One machine; {@code fencingToken} is its own when higher than that of the leader's term. */
-    public record Host(String id, String address, String type, String zone, boolean spot, long fencingToken) {}
+    public record Host(String id, String address, String type, String zone, boolean spot, long fencingToken) {
+        private List<Object> toRow() {
+            return List.of(id, address, type, zone, spot ? 1 : 0, fencingToken);
+        }
+
+        /** The bytes that this machine's row takes, whatever its token may be later. */
+        public int largestRowBytes() {
+            Host latest = new Host(id, address, type, zone, spot, Long.MAX_VALUE);
+            return RecordSize.ofValue(latest.toRow()) + 1;
+        }
+    }
 
     @Override
     public Map<String, Object> toMap() {
         List<Object> rows = new ArrayList<>();
         for (Host h : hosts) {
-            rows.add(List.of(h.id(), h.address(), h.type(), h.zone(), h.spot() ? 1 : 0, h.fencingToken()));
+            rows.add(h.toRow());
         }
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("hosts", rows);
--- a/src/main/java/org/granitepath/bookkeeping/ProgressRecord.java
+++ b/src/main/java/org/granitepath/bookkeeping/ProgressRecord.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.RangeSet;
 import com.google.common.collect.TreeRangeSet;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,26 @@
         done = ImmutableRangeSet.copyOf(done);
     }
 
+    /**
+     * This record, if need be with fewer finished tasks, so that it takes at most so many bytes. The ranges that hold
+     * the most tasks stay. What is left out would only be started again and be found complete.
+     */
+    public ProgressRecord atMost(int bytes) {
+        int spare = bytes - RecordSize.of(this);
+        if (spare >= 0) {
+            return this;
+        }
+        List<Range<Integer>> largestFirst = new ArrayList<>(done.asRanges());
+        largestFirst.sort(Comparator.comparingInt(range -> range.lowerEndpoint() - range.upperEndpoint()));
+        RangeSet<Integer> kept = TreeRangeSet.create(done);
+        for (int i = largestFirst.size() - 1; i >= 0 && spare < 0; i--) {
+            Range<Integer> range = largestFirst.get(i);
+            kept.remove(range);
+            spare += RecordSize.ofValue(range.lowerEndpoint()) + RecordSize.ofValue(range.upperEndpoint()) + 2;
+        }
+        return new ProgressRecord(leader, claimed, kept, running);
+    }
+
     /** Of a job of which nothing is on record yet. */
     public static ProgressRecord none() {
         return new ProgressRecord("", 0, TreeRangeSet.create(), 0);
@@ -30,6 +51,11 @@
         set.add(Range.closedOpen(task, task + 1));
     }
 
+    /** Adds all task numbers below {@code count}. */
+    public static void addTasks(RangeSet<Integer> set, int count) {
+        set.add(Range.closedOpen(0, count));
+    }
+
     /** How many task numbers a set of ranges holds. */
     public static int count(RangeSet<Integer> set) {
         int n = 0;
--- /dev/null
+++ b/src/main/java/org/granitepath/bookkeeping/RecordSize.java
@@ -0,0 +1,55 @@
+package org.granitepath.bookkeeping;
+
+import java.util.Map;
+
+/** How many bytes a record takes as JSON. The state service refuses values beyond a limit. */
+public final class RecordSize {
+    /** A character that may need an escape, or is not ASCII: at most as many bytes as an escape sequence. */
+    private static final int LONGEST_CHARACTER = 6;
+
+    private static final char FIRST_PRINTABLE = ' ';
+    private static final char LAST_ASCII = '~';
+
+    private RecordSize() {}
+
+    /** The bytes of a record, never fewer than it takes. */
+    public static int of(StoredRecord record) {
+        return ofValue(record.toMap());
+    }
+
+    /** The bytes of a JSON value, never fewer than it takes. */
+    static int ofValue(Object value) {
+        if (value instanceof Map<?, ?> map) {
+            int bytes = 2;
+            for (var entry : map.entrySet()) {
+                bytes += ofValue(entry.getKey()) + 1 + ofValue(entry.getValue()) + 1;
+            }
+            return bytes;
+        }
+        if (value instanceof Iterable<?> list) {
+            int bytes = 2;
+            for (Object element : list) {
+                bytes += ofValue(element) + 1;
+            }
+            return bytes;
+        }
+        if (value instanceof String text) {
+            return ofText(text);
+        }
+        return String.valueOf(value).length();
+    }
+
+    private static int ofText(String text) {
+        int bytes = 2;
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            boolean plain = character >= FIRST_PRINTABLE
+                    && character <= LAST_ASCII
+                    && character != '"'
+                    && character != '\\'
+                    && character != '/';
+            bytes += plain ? 1 : LONGEST_CHARACTER;
+        }
+        return bytes;
+    }
+}
--- a/src/main/java/org/granitepath/bookkeeping/StatePort.java
+++ b/src/main/java/org/granitepath/bookkeeping/StatePort.java
@@ -7,13 +7,17 @@
 /** The state service as the decision code sees it. Every call answers exactly once, later, on the event loop. */
 public interface StatePort {
 
-    /** How a call ended. {@code UNKNOWN}: no answer, so it may have been carried out, or may yet be. */
+    /**
+     * How a call ended. {@code REFUSED}: not now. {@code REJECTED}: never, as it stands. {@code UNKNOWN}: no answer, so
+     * it may have been carried out, or may yet be.
+     */
     enum Outcome {
         OK,
         CONFLICT,
         NOT_FOUND,
         GONE,
         REFUSED,
+        REJECTED,
         UNKNOWN
     }
 
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.UUID;
 import org.granitepath.coordination.Config;
+import org.granitepath.coordination.StateLimits;
 import org.snakeyaml.engine.v2.api.Load;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 
@@ -26,6 +27,14 @@
         String state) {
 
     private static final int DEFAULT_CONNECTIONS = 1_000;
+    /** For platforms whose settings say nothing of gangs. */
+    private static final long DEFAULT_GANG_WAIT_MICROS = 30_000_000;
+
+    private static final long DEFAULT_GANG_PEER_MICROS = 5_000_000;
+    private static final double LEAST_WRITES = 0.1;
+    private static final double LEAST_VALUE_KB = 0.5;
+    private static final double LEAST_TXN_OPS = 4;
+    private static final int BYTES_OF_A_KB = 1024;
     /** Operators' settings that had another name in earlier versions. */
     private static final Map<String, String> RENAMED =
             Map.of("patience-share", "deferral-share", "longest-yield-s", "max-starvation-s");
@@ -93,10 +102,10 @@
                 positive(toml, "facts.workers.report_s"),
                 positive(toml, "facts.workers.lease_s"),
                 positive(toml, "facts.workers.cancel_s"),
+                positiveOr(toml, "facts.workers.gang_wait_s", DEFAULT_GANG_WAIT_MICROS),
+                positiveOr(toml, "facts.workers.gang_peer_s", DEFAULT_GANG_PEER_MICROS),
                 number(toml, "facts.state.rps", 0.1),
-                number(toml, "facts.state.write_rps", 0.1),
-                (int) (number(toml, "facts.state.value_kb", 0.5) * 1024),
-                (int) number(toml, "facts.state.txn_ops", 4),
+                stateLimits(toml),
                 number(toml, "facts.cloud.rps", 0.01),
                 Math.round(number(toml, "facts.skew_ms", 0) * 1000),
                 toml.get("facts.resources.max_connections") == null
@@ -105,6 +114,37 @@
                 tuning);
     }
 
+    /** Limits that the state service will have later are kept from the beginning. */
+    private static StateLimits stateLimits(UnmodifiableConfig toml) throws Invalid {
+        StateLimits present = stateLimits(toml, "facts.state.", null);
+        Object next = toml.get("facts.state.next");
+        if (next == null) {
+            return present;
+        }
+        if (!(next instanceof UnmodifiableConfig)) {
+            throw new Invalid("facts.state.next must be a table of limits");
+        }
+        return present.within(stateLimits(toml, "facts.state.next.", present));
+    }
+
+    /** @param otherwise what holds where a limit is missing; null: none may be missing */
+    private static StateLimits stateLimits(UnmodifiableConfig toml, String table, StateLimits otherwise)
+            throws Invalid {
+        double writes =
+                limit(toml, table + "write_rps", LEAST_WRITES, otherwise == null ? null : otherwise.writesPerSecond());
+        double bytes = limit(
+                toml,
+                table + "value_kb",
+                LEAST_VALUE_KB,
+                otherwise == null ? null : (double) otherwise.valueBytes() / BYTES_OF_A_KB);
+        double ops = limit(toml, table + "txn_ops", LEAST_TXN_OPS, otherwise == null ? null : 1.0 * otherwise.txnOps());
+        return new StateLimits(writes, (int) (bytes * BYTES_OF_A_KB), (int) ops);
+    }
+
+    private static double limit(UnmodifiableConfig toml, String path, double least, Double otherwise) throws Invalid {
+        return otherwise != null && toml.get(path) == null ? otherwise : number(toml, path, least);
+    }
+
     private static Map<String, Config.Team> teams(UnmodifiableConfig toml) throws Invalid {
         Map<String, Config.Team> teams = new LinkedHashMap<>();
         for (UnmodifiableConfig team : tables(toml, "facts.teams")) {
@@ -300,6 +340,10 @@
         return Math.round(number(c, path, 0.001) * 1e6);
     }
 
+    private static long positiveOr(UnmodifiableConfig c, String path, long otherwise) throws Invalid {
+        return c.get(path) == null ? otherwise : positive(c, path);
+    }
+
     private static long micros(UnmodifiableConfig c, String path) throws Invalid {
         return Math.round(number(c, path, 0) * 1e6);
     }
--- a/src/main/java/org/granitepath/coordination/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/ActiveJob.java
@@ -51,8 +51,12 @@
 
     int ranCount;
     long notBeforeMicros;
-    /** Since when freed room is held for this gang; negative when it is not. */
-    long heldSinceMicros = -1;
+    /** The attempt of a gang that is on machines; null: none, or another shape. */
+    GangAttempt gangAttempt;
+    /** Since when machines are reserved for this gang; negative when none is. */
+    long reservedSinceMicros = -1;
+    /** Until then no machine is reserved for this gang again. */
+    long noReservationUntilMicros = -1;
     /** When it last had a task on a machine, as far as this term knows; negative: never. */
     long lastRunningMicros = -1;
 
@@ -145,6 +149,14 @@
         unconfirmed.remove(task);
     }
 
+    /** A task of a gang has completed: all have. */
+    void markAllDone() {
+        ProgressRecord.addTasks(done, spec.tasks());
+        doneCount = spec.tasks();
+        free.clear();
+        unconfirmed.clear();
+    }
+
     /** Every machine that could have held a task of ours was heard or is proved gone. */
     void resolveUnconfirmed() {
         free.addAll(unconfirmed);
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -184,6 +184,7 @@
         return job.waiting() > 0
                 && job.waitingSinceMicros >= 0
                 && job.notBeforeMicros <= now
+                && job.gangAttempt == null
                 && rules.teamAllows(job.spec);
     }
 
@@ -301,6 +302,7 @@
             boolean dead = trust && now - machine.heardMicros > failureTimeoutMicros(machine);
             boolean idle = machine.phase == Machine.Phase.READY
                     && machine.placements.isEmpty()
+                    && machine.reservedFor == null
                     && now - machine.idleSinceMicros > idleMicros(machine)
                     && now - machine.rentedMicros > LEAST_CHARGE_MICROS;
             machine.keptAsHeadroom = idle && !machine.spot && headroomSpare < machine.cpuFree();
@@ -362,6 +364,6 @@
      * reports may still be on their way to the former leader.
      */
     private long failureTimeoutMicros(Machine machine) {
-        return machine.probeFailed ? 2 * config.reportMicros() + 1_000_000 : config.leaseMicros();
+        return machine.probeFailed ? failureDetector.silenceMicros(machine) : config.leaseMicros();
     }
 }
--- a/src/main/java/org/granitepath/coordination/BatchPlanner.java
+++ b/src/main/java/org/granitepath/coordination/BatchPlanner.java
@@ -67,7 +67,7 @@
             job.schedulingClass = SchedulingClass.ANY;
             if (isLive(job)) {
                 job.schedulingClass = SchedulingClass.LIVE;
-            } else if (stalled(job, now)) {
+            } else if (stalled(job, now) || isExpectedGang(job)) {
                 job.schedulingClass = SchedulingClass.IN_TIME;
             } else if (job.spec.hasDeadline() || finishAim(job) > 0) {
                 long left = (finishAim(job) > 0 ? finishAim(job) : job.spec.deadlineMicros())
@@ -145,6 +145,15 @@
         return sum;
     }
 
+    /**
+     * A gang of which something is expected goes with what can be in time, until it has started: it needs its room all
+     * at once, and what other work leaves over never becomes enough.
+     */
+    private boolean isExpectedGang(ActiveJob job) {
+        Config.Objective objective = config.objectives().getOrDefault(job.spec.jobClass(), Config.Objective.NONE);
+        return job.spec.gang() && (objective.waitMicros() > 0 || objective.finishMicros() > 0);
+    }
+
     static boolean isLive(ActiveJob job) {
         return job.spec.service() && !Priority.HIGH.above(job.spec.priority());
     }
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -9,6 +9,9 @@
  * What the decision code needs of the settings: the platform's facts and the operators' own choices.
  *
  * @param zone where this controller stands; {@code peerZones} the other controllers, each with its zone
+ * @param gangWaitMicros how long a task of a gang waits for the others before it exits
+ * @param gangPeerMicros within this time the tasks of a gang notice that one of them is gone or was told to stop
+ * @param stateLimits what writes to the state service keep to, now and later
  */
 public record Config(
         String node,
@@ -21,10 +24,10 @@
         long reportMicros,
         long leaseMicros,
         long cancelMicros,
+        long gangWaitMicros,
+        long gangPeerMicros,
         double stateRequests,
-        double stateWrites,
-        int valueBytes,
-        int txnOps,
+        StateLimits stateLimits,
         double cloudRequests,
         long skewMicros,
         int maxConnections,
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -5,6 +5,7 @@
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.MachineTypesRecord;
 import org.granitepath.bookkeeping.RecordReplica;
+import org.granitepath.bookkeeping.RecordSize;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
@@ -76,8 +77,8 @@
                 state,
                 replica,
                 timers,
-                config.txnOps(),
-                config.stateWrites() * WRITE_SHARE,
+                config.stateLimits().txnOps(),
+                config.stateLimits().writesPerSecond() * WRITE_SHARE,
                 false,
                 () -> List.of(new Guard(Keys.LEADER, term.leaderStamp())),
                 () -> !ended);
@@ -148,10 +149,11 @@
 
     /** Keeps the machine types on record, for controllers that start while the cloud is away. */
     void recordTypes(List<MachineType> list) {
-        if (replica.has(Keys.TYPES)) {
-            return;
-        }
         MachineTypesRecord types = new MachineTypesRecord(list);
+        if (replica.has(Keys.TYPES)
+                || RecordSize.of(types) > config.stateLimits().valueBytes()) {
+            return; // a part of the types would let controllers refuse jobs that can run
+        }
         writeQueue.enqueue(
                 Keys.TYPES,
                 WriteQueue.Urgency.PROGRESS_ONLY,
--- a/src/main/java/org/granitepath/coordination/FailureDetector.java
+++ b/src/main/java/org/granitepath/coordination/FailureDetector.java
@@ -22,11 +22,15 @@
 
     private static final double REST_SHARE = 0.3;
     private static final double FEW_SHARE = 0.2;
+    private static final int REPORTS_MISSED = 2;
+    private static final long ANSWER_MICROS = 1_000_000;
 
     private final Config config;
     private final Fleet fleet;
     private final Peers peers;
     private final Set<String> cutOff = new HashSet<>();
+    /** Zones in which many machines are overdue: perhaps a cut of which only the beginning shows. */
+    private final Set<String> doubtful = new HashSet<>();
     /** When each zone was last found cut off. */
     private final Map<String, Long> lastCutMicros = new HashMap<>();
 
@@ -42,6 +46,7 @@
         Object2IntOpenHashMap<String> all = new Object2IntOpenHashMap<>();
         Object2IntOpenHashMap<String> late = new Object2IntOpenHashMap<>();
         overdue = 0;
+        doubtful.clear();
         for (Machine machine : fleet.machines()) {
             all.addTo(machine.zone, 1);
             if (fleet.overdue(machine, now)) {
@@ -59,6 +64,9 @@
             if (isCut) {
                 lastCutMicros.put(zone, now);
             }
+            if (lateInZone > FEW_SHARE * inZone) {
+                doubtful.add(zone);
+            }
             if (isCut && cutOff.add(zone)) {
                 LOG.info(
                         "zone {} seems cut off: {} of {} machines are overdue there, {} of {} elsewhere",
@@ -88,6 +96,16 @@
         return cutOff(machine.zone, now) && config.peerIn(machine.zone);
     }
 
+    /**
+     * How long a machine that does not answer calls may be silent before it is given up. Where many of its zone are
+     * overdue it is one report more: when the last one to report before a cut is overdue, the first one has been silent
+     * for that much longer, and without the wait the first ones were returned with all their work.
+     */
+    long silenceMicros(Machine machine) {
+        int reports = doubtful.contains(machine.zone) ? REPORTS_MISSED + 1 : REPORTS_MISSED;
+        return reports * config.reportMicros() + ANSWER_MICROS;
+    }
+
     /**
      * Many overdue at once: perhaps we are the ones cut off. Peers that don't hear them either tell us that we are not.
      */
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/GangAttempt.java
@@ -0,0 +1,135 @@
+package org.granitepath.coordination;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One attempt of a gang. Its tasks share the attempt's number, by which they find each other; they start together when
+ * the last one has its image, and they complete together. What a task does is reported by its machine, the others may
+ * know better: a gang may be running, or broken, before we hear of it.
+ */
+final class GangAttempt {
+    private static final Logger LOG = LoggerFactory.getLogger(GangAttempt.class);
+
+    /**
+     * {@code FORMING}: starts are under way or images are fetched. {@code WAITING}: a task has its image and waits for
+     * the others. {@code RUNNING}: all run. {@code STOPPING}: all were told to stop, or one is gone and the others
+     * exit. {@code ENDING}: a task has completed, so all have. Until no task is on a machine any more, the attempt
+     * lives, and no other begins.
+     */
+    enum Phase {
+        FORMING,
+        WAITING,
+        RUNNING,
+        STOPPING,
+        ENDING
+    }
+
+    private final String job;
+    private final long number;
+    private Phase phase = Phase.FORMING;
+    private long waitingSinceMicros = -1;
+    private long incompleteSinceMicros = -1;
+    /** Where each task of the attempt was sent: a worker that knows this task and attempt ignores a second start. */
+    private final Map<Integer, Set<String>> machinesTried = new HashMap<>();
+
+    /** An attempt with this number, of which nothing is known yet. */
+    GangAttempt(String job, long number) {
+        this.job = job;
+        this.number = number;
+    }
+
+    long number() {
+        return number;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    private void transition(Phase next, String why) {
+        if (phase != next) {
+            LOG.debug("gang {} attempt {}: {} -> {} ({})", job, number, phase, next, why);
+            phase = next;
+        }
+    }
+
+    /** A task was placed on a machine, or found there. */
+    void placed(int task, String machine) {
+        machinesTried.computeIfAbsent(task, unknown -> new HashSet<>()).add(machine);
+    }
+
+    /** Whether a start of this task would be ignored there. */
+    boolean wasTriedOn(int task, String machine) {
+        return machinesTried.getOrDefault(task, Set.of()).contains(machine);
+    }
+
+    /** All tasks are placed. */
+    void complete() {
+        incompleteSinceMicros = -1;
+    }
+
+    /** A task waits for the others. */
+    void waiting(long now) {
+        if (phase == Phase.FORMING) {
+            waitingSinceMicros = now;
+            transition(Phase.WAITING, "a task waits for the others");
+        }
+    }
+
+    /** A task runs, so all do, or did. */
+    void running() {
+        if (phase == Phase.FORMING || phase == Phase.WAITING) {
+            transition(Phase.RUNNING, "its tasks run");
+        }
+    }
+
+    /** All tasks are told to stop, or were told by a former leader. */
+    void stopping(String why) {
+        if (phase != Phase.ENDING) {
+            transition(Phase.STOPPING, why);
+        }
+    }
+
+    /** A task has completed. */
+    void completed() {
+        transition(Phase.ENDING, "a task has completed");
+    }
+
+    /** A task is proved gone. Before the gang has started another may take its place; otherwise the attempt is over. */
+    void taskGone(long now) {
+        if (phase == Phase.RUNNING) {
+            transition(Phase.STOPPING, "a task is gone");
+        } else if (incompleteSinceMicros < 0) {
+            incompleteSinceMicros = now;
+        }
+    }
+
+    /** Whether the tasks that are left exit by themselves or were told to. */
+    boolean isEnding() {
+        return phase == Phase.STOPPING || phase == Phase.ENDING;
+    }
+
+    /** Whether tasks that are missing may still join. */
+    boolean mayBeCompleted() {
+        return phase == Phase.FORMING || phase == Phase.WAITING;
+    }
+
+    /**
+     * Whether the tasks that are there had better be stopped than left to wait: tasks have been missing for long, or
+     * could not start before those that wait give up.
+     *
+     * @param patienceMicros how long a task may be missing
+     * @param lastMomentMicros how long a task may have waited when a start is still worth sending
+     */
+    boolean isHopeless(long now, long patienceMicros, long lastMomentMicros) {
+        return mayBeCompleted()
+                && incompleteSinceMicros >= 0
+                && (now - incompleteSinceMicros > patienceMicros
+                        || (waitingSinceMicros >= 0 && now - waitingSinceMicros > lastMomentMicros));
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Heartbeat.java
+++ b/src/main/java/org/granitepath/coordination/Heartbeat.java
@@ -15,15 +15,19 @@
         long noticeMicros,
         List<TaskReport> tasks) {
 
-    /** What a task on a machine does. */
+    /** What a task on a machine does. {@code WAITING}: a task of a gang waits for the others. */
     public enum TaskState {
         FETCHING,
+        WAITING,
         RUNNING,
         SAVING,
         EXITED
     }
 
-    /** Why a task has exited. */
+    /**
+     * Why a task has exited. {@code PEER_GONE}: another task of its gang is gone. {@code INCOMPLETE}: its gang was not
+     * complete in time.
+     */
     public enum Cause {
         NONE,
         DONE,
@@ -31,7 +35,9 @@
         FAILED,
         NO_ROOM,
         BUSY,
-        UNKNOWN_JOB
+        UNKNOWN_JOB,
+        PEER_GONE,
+        INCOMPLETE
     }
 
     /** One task on the machine; {@code saved} when its progress was kept. */
--- a/src/main/java/org/granitepath/coordination/JobLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/JobLifecycle.java
@@ -179,7 +179,9 @@
                 () -> job.phase == ActiveJob.Phase.OVER
                         ? List.of()
                         : List.of(Change.write(
-                                key, new ProgressRecord(config.node(), job.claimWanted, job.done, job.running()))),
+                                key,
+                                new ProgressRecord(config.node(), job.claimWanted, job.done, job.running())
+                                        .atMost(config.stateLimits().valueBytes()))),
                 epoch -> loop.requestPass());
     }
 
--- a/src/main/java/org/granitepath/coordination/JobRequestHandler.java
+++ b/src/main/java/org/granitepath/coordination/JobRequestHandler.java
@@ -15,6 +15,7 @@
 import org.granitepath.bookkeeping.MachineType;
 import org.granitepath.bookkeeping.ProgressRecord;
 import org.granitepath.bookkeeping.RecordReplica;
+import org.granitepath.bookkeeping.RecordSize;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
@@ -32,6 +33,9 @@
 
     private static final long POLL_TIMEOUT_MICROS = 1_600_000;
     private static final int MOST_WAITING = 2_000;
+    /** This controller's share of the changes; the shares of all add up to more than there is. */
+    private static final double WRITE_SHARE = 0.5;
+
     private static final int RETRY_SECONDS = 2;
 
     /** Whoever waits for one outcome; all get the same answer. */
@@ -73,8 +77,8 @@
                 state,
                 replica,
                 timers,
-                config.txnOps(),
-                config.stateWrites() * 0.5,
+                config.stateLimits().txnOps(),
+                config.stateLimits().writesPerSecond() * WRITE_SHARE,
                 true,
                 // An acceptance claims tasks for the leader that we know of: it must be the leader still.
                 () -> List.of(new Guard(Keys.LEADER, replica.stamp(Keys.LEADER))),
@@ -136,6 +140,10 @@
                         spec, timers.timeOfDayMicros(), config.tuning().firstBlock(spec), leader.fencingToken());
     }
 
+    private static JobRecord longestRecord(JobSpec spec) {
+        return new JobRecord(spec, Long.MAX_VALUE, Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+
     /** Why a job can never run, or null. */
     private String unschedulableReason(JobSpec spec) {
         Config.Team team = config.teams().get(spec.team());
@@ -150,6 +158,10 @@
         if (!types.get().isEmpty() && types.get().values().stream().noneMatch(type -> type.fits(spec))) {
             return "a task fits no allowed machine type";
         }
+        int largest = config.stateLimits().valueBytes();
+        if (RecordSize.of(longestRecord(spec)) > largest) {
+            return "its description takes more than the " + largest + " bytes that can be kept of a job";
+        }
         if (spec.spread() && spec.tasks() > 1 && (spec.oneZone() || spec.zone() != null)) {
             return "its tasks must be spread over zones and be in one zone";
         }
--- a/src/main/java/org/granitepath/coordination/Machine.java
+++ b/src/main/java/org/granitepath/coordination/Machine.java
@@ -72,6 +72,9 @@
     /** Idle, but kept as headroom for live services: other work may use it meanwhile. */
     boolean keptAsHeadroom;
 
+    /** Its free room is held for this gang; null: for none. Live services may use it all the same. */
+    ActiveJob reservedFor;
+
     long idleSinceMicros;
     long firstHeardMicros;
     /** When it was rented, as far as we know. */
@@ -193,6 +196,22 @@
         return slots(spec, 0, 0, 0) > 0;
     }
 
+    /** How many tasks of this shape fit once all but the services here has ended. */
+    int slotsBesideServices(JobSpec spec) {
+        long cpu = 0;
+        long gpu = 0;
+        long memory = 0;
+        for (Placement placement : placements.values()) {
+            JobSpec other = placement.job.spec;
+            if (!other.service()) {
+                cpu += other.cpuMillis();
+                gpu += other.gpuMillis();
+                memory += other.memoryMillis();
+            }
+        }
+        return slots(spec, cpu, gpu, memory);
+    }
+
     /** How many tasks of this shape fit, were this much more free. */
     int slots(JobSpec spec, long moreCpu, long moreGpu, long moreMemory) {
         if (type == null) {
--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -1,5 +1,7 @@
 package org.granitepath.coordination;
 
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -18,10 +20,12 @@
 /** Our machines as they are on record, many to a value, and the fencing tokens that single machines are given anew. */
 final class MachineInventory {
     private static final Logger LOG = LoggerFactory.getLogger(MachineInventory.class);
-    private static final int ROW_BYTES = 110;
     /** Larger values would only be read over and over by every controller. */
     private static final int MOST_VALUE_BYTES = 8 * 1024;
 
+    /** A value without machines, with the space around its rows. */
+    private static final int EMPTY_VALUE_BYTES = 64;
+
     private static final int MOST_TRANSACTION_BYTES = 48 * 1024;
     private static final long LEAST_GATHER_MICROS = 30_000;
     /**
@@ -39,7 +43,7 @@
     private final Fleet fleet;
     private final Consumer<Machine> tokenListener;
     private final Runnable recordedListener;
-    private final int rowsEach;
+    private final int valueBytes;
     private final int valuesAtOnce;
     private final Timers timers;
     /** Before this the next write would take more than the inventory's share of the budget. */
@@ -48,6 +52,16 @@
     private boolean cleanupTimerSet;
     private boolean cleanupDue;
     private final List<Set<String>> values = new ArrayList<>();
+    /** The bytes of each value, at most. */
+    private final IntArrayList usedBytes = new IntArrayList();
+    /**
+     * Values on record that are larger than may be written, each with those that take over a part of its machines.
+     * Each group is written whole, so that no machine is ever on record twice or not at all, and in order, so that
+     * there is no gap between the values.
+     */
+    private final ArrayDeque<List<Integer>> splits = new ArrayDeque<>();
+
+    private boolean splitting;
     private final Set<Integer> dirty = new HashSet<>();
     // What the transaction under way holds.
     private final List<Machine> withNewToken = new ArrayList<>();
@@ -76,9 +90,10 @@
         this.fleet = fleet;
         this.tokenListener = tokenListener;
         this.recordedListener = recordedListener;
-        int valueBytes = Math.min(config.valueBytes(), MOST_VALUE_BYTES);
-        this.rowsEach = Math.max(8, valueBytes / ROW_BYTES);
-        this.valuesAtOnce = Math.max(1, Math.min(config.txnOps() - 2, MOST_TRANSACTION_BYTES / valueBytes));
+        this.valueBytes = Math.min(config.stateLimits().valueBytes(), MOST_VALUE_BYTES);
+        // One change is left for the counter of fencing tokens.
+        this.valuesAtOnce =
+                Math.max(1, Math.min(config.stateLimits().txnOps() - 1, MOST_TRANSACTION_BYTES / valueBytes));
     }
 
     /** The machines on record when the term began; all are ours under the term's fencing token. */
@@ -96,26 +111,100 @@
                 names.add(machine.id);
             }
             values.add(names);
+            usedBytes.add(EMPTY_VALUE_BYTES
+                    + inherited.stream()
+                            .skip(inherited.size() - (long) names.size())
+                            .mapToInt(MachineInventory::rowBytes)
+                            .sum());
         }
+        splitLargeValues(inherited);
         return inherited;
     }
 
+    /** A controller that knew of larger limits may have left values that may no longer be written. */
+    private void splitLargeValues(List<Machine> inherited) {
+        int onRecord = values.size();
+        for (int part = 0; part < onRecord; part++) {
+            if (usedBytes.getInt(part) > valueBytes) {
+                split(part, inherited);
+            }
+        }
+        if (!splits.isEmpty()) {
+            LOG.info("{} values of the machine inventory are split: they exceed {} bytes", splits.size(), valueBytes);
+            changed(splits.peek().get(0));
+        }
+    }
+
+    private void split(int part, List<Machine> inherited) {
+        List<Machine> machines = inherited.stream()
+                .filter(machine -> machine.inventoryPart == part)
+                .toList();
+        List<List<Machine>> pieces = pieces(machines);
+        if (pieces.size() > config.stateLimits().txnOps()) {
+            LOG.error("value {} of the machine inventory can't be split in one transaction: it stays as it is", part);
+            return;
+        }
+        List<Integer> group = new ArrayList<>();
+        for (List<Machine> piece : pieces) {
+            int target = group.isEmpty() ? part : values.size();
+            if (!group.isEmpty()) {
+                values.add(new LinkedHashSet<>());
+                usedBytes.add(EMPTY_VALUE_BYTES);
+            }
+            values.get(target).clear();
+            usedBytes.set(target, EMPTY_VALUE_BYTES);
+            piece.forEach(machine -> put(machine, target));
+            group.add(target);
+        }
+        splits.add(group);
+    }
+
+    /** These machines in as few values as hold them. */
+    private List<List<Machine>> pieces(List<Machine> machines) {
+        List<List<Machine>> pieces = new ArrayList<>();
+        int left = 0;
+        for (Machine machine : machines) {
+            int bytes = rowBytes(machine);
+            if (pieces.isEmpty() || bytes > left) {
+                pieces.add(new ArrayList<>());
+                left = valueBytes - EMPTY_VALUE_BYTES;
+            }
+            pieces.get(pieces.size() - 1).add(machine);
+            left -= bytes;
+        }
+        return pieces;
+    }
+
+    private static int rowBytes(Machine machine) {
+        return machine.inventoryRow(machine.fencingToken).largestRowBytes();
+    }
+
+    private void put(Machine machine, int part) {
+        values.get(part).add(machine.id);
+        usedBytes.set(part, usedBytes.getInt(part) + rowBytes(machine));
+        machine.inventoryPart = part;
+    }
+
     void add(Machine machine) {
+        int bytes = rowBytes(machine);
         int at = 0;
-        while (at < values.size() && values.get(at).size() >= rowsEach) {
+        while (at < values.size() && usedBytes.getInt(at) + bytes > valueBytes) {
             at++;
         }
         if (at == values.size()) {
             values.add(new LinkedHashSet<>());
+            usedBytes.add(EMPTY_VALUE_BYTES);
         }
-        values.get(at).add(machine.id);
-        machine.inventoryPart = at;
+        put(machine, at);
         changed(at);
     }
 
     void remove(Machine machine) {
-        values.get(machine.inventoryPart).remove(machine.id);
-        changed(machine.inventoryPart);
+        int part = machine.inventoryPart;
+        if (values.get(part).remove(machine.id)) {
+            usedBytes.set(part, usedBytes.getInt(part) - rowBytes(machine));
+        }
+        changed(part);
     }
 
     /** A direct command has no answer: only a higher fencing token makes sure that it can't be carried out late. */
@@ -156,39 +245,68 @@
         withNewToken.clear();
         added.clear();
         written.clear();
+        splitting = !splits.isEmpty();
+        List<Change> changes = splitting ? splitChanges(splits.peek()) : dirtyChanges();
+        if (!withNewToken.isEmpty()) {
+            changes.add(Change.write(
+                    Keys.FENCING_TOKEN, new FencingTokenRecord(config.node(), term.fencingToken(), drawn)));
+        }
+        nextMicros = timers.nowMicros() + (long) (changes.size() * 1e6 / (writeQueue.writesPerSecond() * WRITE_SHARE));
+        return changes;
+    }
+
+    /** One large value in parts. No token is drawn: the counter might not fit into the same transaction. */
+    private List<Change> splitChanges(List<Integer> group) {
+        List<Change> changes = new ArrayList<>();
+        for (int part : group) {
+            changes.add(valueChange(part, false));
+        }
+        dirty.removeAll(group);
+        for (int part : group) {
+            if (values.get(part).stream().anyMatch(id -> fleet.machine(id).needsNewToken)) {
+                dirty.add(part);
+            }
+        }
+        return changes;
+    }
+
+    private List<Change> dirtyChanges() {
         FencingTokenRecord counter = replica.fencingToken();
         drawn = (counter == null ? term.fencingToken() : counter.last()) + 1;
         List<Change> changes = new ArrayList<>();
         for (int i = 0; i < values.size() && written.size() < valuesAtOnce; i++) {
-            if (!dirty.contains(i)) {
-                continue;
+            if (dirty.contains(i)) {
+                changes.add(valueChange(i, true));
             }
-            List<InventoryRecord.Host> hosts = new ArrayList<>();
-            for (String id : values.get(i)) {
-                Machine machine = fleet.machine(id);
-                machine.needsNewToken |= cleanupDue && machine.needsTokenForCleanup;
-                if (machine.needsNewToken) {
-                    withNewToken.add(machine);
-                }
-                if (!machine.recorded) {
-                    added.add(machine);
-                }
-                hosts.add(machine.inventoryRow(machine.needsNewToken ? drawn : machine.fencingToken));
-            }
-            written.add(i);
-            changes.add(Change.write(Keys.INVENTORY + i, new InventoryRecord(hosts)));
         }
         // A change that comes while the transaction is under way makes its value dirty once more.
         dirty.removeAll(written);
-        if (!withNewToken.isEmpty()) {
-            changes.add(Change.write(
-                    Keys.FENCING_TOKEN, new FencingTokenRecord(config.node(), term.fencingToken(), drawn)));
-        }
-        nextMicros = timers.nowMicros() + (long) (changes.size() * 1e6 / (writeQueue.writesPerSecond() * WRITE_SHARE));
         return changes;
     }
 
+    private Change valueChange(int part, boolean drawTokens) {
+        List<InventoryRecord.Host> hosts = new ArrayList<>();
+        for (String id : values.get(part)) {
+            Machine machine = fleet.machine(id);
+            machine.needsNewToken |= cleanupDue && machine.needsTokenForCleanup;
+            boolean draws = drawTokens && machine.needsNewToken;
+            if (draws) {
+                withNewToken.add(machine);
+            }
+            if (!machine.recorded) {
+                added.add(machine);
+            }
+            hosts.add(machine.inventoryRow(draws ? drawn : machine.fencingToken));
+        }
+        written.add(part);
+        return Change.write(Keys.INVENTORY + part, new InventoryRecord(hosts));
+    }
+
     private void recorded() {
+        if (splitting) {
+            splits.remove();
+            splitting = false;
+        }
         written.clear();
         cleanupDue &= !dirty.isEmpty();
         for (Machine machine : added) {
@@ -200,7 +318,9 @@
             machine.fencingToken = drawn;
             tokenListener.accept(machine);
         }
-        if (!dirty.isEmpty()) {
+        if (!splits.isEmpty()) {
+            changed(splits.peek().get(0));
+        } else if (!dirty.isEmpty()) {
             changed(dirty.iterator().next());
         }
         recordedListener.run();
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/MachinePreference.java
@@ -0,0 +1,29 @@
+package org.granitepath.coordination;
+
+import org.granitepath.bookkeeping.JobSpec;
+
+/** Which of the machines that a job may use is best for one of its tasks. */
+final class MachinePreference {
+    /** A machine on which tasks failed lately comes after all others. */
+    private static final double SUSPECT_PENALTY = 100;
+
+    private final PlacementRules rules;
+
+    MachinePreference(PlacementRules rules) {
+        this.rules = rules;
+    }
+
+    /**
+     * Higher is better. Machines that have the image come first, then tight fits. Services gather on machines that
+     * already hold some, batch work on the others and on spot machines, so that emptied machines can be returned.
+     */
+    double score(Machine machine, JobSpec spec) {
+        double score = machine.hasImage(spec.image())
+                ? 20
+                : machine.fetches(spec.image()) ? 10 : machine.type.fetchGbPerSecond();
+        score -= 4.0 * (machine.cpuFree() - spec.cpuMillis()) / machine.type.cpuMillis();
+        score -= rules.isSuspect(machine) ? SUSPECT_PENALTY : 0;
+        boolean mixed = machine.hostsService();
+        return spec.service() ? score + (mixed ? 12 : 0) : score + (machine.spot ? 6 : 0) - (mixed ? 6 : 0);
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Placement.java
+++ b/src/main/java/org/granitepath/coordination/Placement.java
@@ -7,11 +7,15 @@
 final class Placement {
     private static final Logger LOG = LoggerFactory.getLogger(Placement.class);
 
-    /** {@code ASSIGNED}: decided, not sent. {@code SENT}: a start is under way or was answered. */
+    /**
+     * {@code ASSIGNED}: decided, not sent. {@code SENT}: a start is under way or was answered. {@code WAITING}: a task
+     * of a gang waits for the others.
+     */
     enum Phase {
         ASSIGNED,
         SENT,
         FETCHING,
+        WAITING,
         RUNNING,
         STOPPING,
         FREED
--- a/src/main/java/org/granitepath/coordination/PlacementRules.java
+++ b/src/main/java/org/granitepath/coordination/PlacementRules.java
@@ -40,6 +40,11 @@
                 && faults.mayTry(machine, job);
     }
 
+    /** Whether the machine's room is not held for a gang, unless this is it, or work that goes before all gangs. */
+    boolean mayHold(Machine machine, ActiveJob job) {
+        return machine.reservedFor == null || machine.reservedFor == job || BatchPlanner.isLive(job);
+    }
+
     private boolean isPaidForAnyway(Machine machine, ActiveJob job, long now) {
         return machine.spot
                 || machine.hostsService()
@@ -62,7 +67,12 @@
      * over are still to be stopped, what a team uses is not known.
      */
     boolean teamAllows(JobSpec spec) {
-        return teamLimits.allows(spec)
+        return teamAllows(spec, 1);
+    }
+
+    /** The same for several tasks together. */
+    boolean teamAllows(JobSpec spec, int count) {
+        return teamLimits.allows(spec, count)
                 && (!teamLimits.limits(spec) || (fleet.allConfirmed() && fleet.noOrphanedTasks()));
     }
 
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/PlannedMachine.java
@@ -0,0 +1,50 @@
+package org.granitepath.coordination;
+
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+
+/** Room on a machine that is on its way, or is to be rented. */
+final class PlannedMachine {
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    long cpu;
+    long gpu;
+    long memory;
+
+    PlannedMachine(MachineType type, String zone, boolean spot) {
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        cpu = type.cpuMillis();
+        gpu = type.gpuMillis();
+        memory = type.memoryMillis();
+    }
+
+    private boolean allows(JobSpec spec) {
+        return spec.allowsType(type.name()) && spec.allowsZone(zone) && (!spot || spec.spot());
+    }
+
+    /** How many such tasks it still holds. */
+    int slots(JobSpec spec) {
+        return allows(spec) ? MachineType.slots(spec, cpu, gpu, memory) : 0;
+    }
+
+    /** Undoes a {@link #take}. */
+    void giveBack(JobSpec spec) {
+        cpu += spec.cpuMillis();
+        gpu += spec.gpuMillis();
+        memory += spec.memoryMillis();
+    }
+
+    /** Sets room aside for one such task; false when there is none. */
+    boolean take(JobSpec spec) {
+        if (slots(spec) == 0) {
+            return false;
+        }
+        cpu -= spec.cpuMillis();
+        gpu -= spec.gpuMillis();
+        memory -= spec.memoryMillis();
+        return true;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/Preemptor.java
+++ b/src/main/java/org/granitepath/coordination/Preemptor.java
@@ -97,6 +97,9 @@
                 tasks.stop(placement, live ? 0 : placement.job.spec.saveMicros(), "room for " + job.spec.id());
             }
             coming += preemption.slots();
+            if (preemption.victims().stream().anyMatch(victim -> victim.job.spec.gang())) {
+                break; // a whole gang ends: the next pass sees what room that makes
+            }
         }
         return coming;
     }
@@ -162,14 +165,25 @@
         if (!job.spec.priority().above(victim.priority()) || victim.service()) {
             return false;
         }
+        if (!live && victim.gang()) {
+            return false; // it saves only when all its tasks are reached in time
+        }
         return live
                 || (victim.checkpointMicros() > 0
                         && placement.runningSinceMicros >= 0
                         && now - placement.runningSinceMicros > MIN_RUNTIME_MICROS);
     }
 
-    /** CPU time that stopping this task throws away. */
+    /** CPU time that stopping this task throws away; of a gang, that of all its tasks. */
     private static double loss(Placement placement, long now) {
+        return placement.job.spec.gang()
+                ? placement.job.placements.values().stream()
+                        .mapToDouble(each -> ownLoss(each, now))
+                        .sum()
+                : ownLoss(placement, now);
+    }
+
+    private static double ownLoss(Placement placement, long now) {
         long ran = placement.runningSinceMicros < 0 ? 0 : now - placement.runningSinceMicros;
         long interval = placement.job.spec.checkpointMicros();
         long unsaved = interval > 0 ? ran % interval : ran;
--- a/src/main/java/org/granitepath/coordination/RentalPlan.java
+++ b/src/main/java/org/granitepath/coordination/RentalPlan.java
@@ -32,40 +32,6 @@
     /** How many machines of an offer to rent. */
     record Purchase(Offer offer, int count) {}
 
-    /** Room on a machine that is on its way. */
-    private static final class Bin {
-        final MachineType type;
-        final String zone;
-        final boolean spot;
-        long cpu;
-        long gpu;
-        long memory;
-
-        Bin(MachineType type, String zone, boolean spot) {
-            this.type = type;
-            this.zone = zone;
-            this.spot = spot;
-            cpu = type.cpuMillis();
-            gpu = type.gpuMillis();
-            memory = type.memoryMillis();
-        }
-
-        boolean take(JobSpec spec) {
-            if (!spec.allowsType(type.name())
-                    || !spec.allowsZone(zone)
-                    || (spot && !spec.spot())
-                    || spec.cpuMillis() > cpu
-                    || spec.gpuMillis() > gpu
-                    || spec.memoryMillis() > memory) {
-                return false;
-            }
-            cpu -= spec.cpuMillis();
-            gpu -= spec.gpuMillis();
-            memory -= spec.memoryMillis();
-            return true;
-        }
-    }
-
     /** Live services that need the same are bought for as a class: they share machines. */
     private record Alike(long cpu, long gpu, long memory, List<String> types, String zone, boolean spot) {
         static Alike of(JobSpec spec) {
@@ -87,7 +53,7 @@
     private final Predicate<String> refused;
     private final Predicate<String> cutOff;
     private final long now;
-    private final List<Bin> bins = new ArrayList<>();
+    private final List<PlannedMachine> bins = new ArrayList<>();
     private final Map<String, Integer> counts = new LinkedHashMap<>();
     private final Map<String, Offer> offers = new HashMap<>();
     private final Object2IntOpenHashMap<Alike> alikeLeft = new Object2IntOpenHashMap<>();
@@ -110,7 +76,7 @@
 
     /** A machine that is on its way. */
     void coming(MachineType type, String zone, boolean spot) {
-        bins.add(new Bin(type, zone, spot));
+        bins.add(new PlannedMachine(type, zone, spot));
         roomComing += type.cpuMillis();
     }
 
@@ -188,7 +154,7 @@
                 roomByZone.merge(machine.zone, free, Double::sum);
             }
         }
-        for (Bin bin : bins) {
+        for (PlannedMachine bin : bins) {
             if (!bin.spot) {
                 room += bin.cpu;
                 roomByZone.merge(bin.zone, (double) bin.cpu, Double::sum);
@@ -214,6 +180,10 @@
     }
 
     private void plan(ActiveJob job) {
+        if (job.spec.gang()) {
+            planGang(job);
+            return;
+        }
         JobSpec spec = job.spec;
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts);
         int left = Math.min(job.waiting(), MOST_PLANNED);
@@ -221,7 +191,7 @@
         // From here on the class lacks what the jobs after this one want.
         int others = BatchPlanner.isLive(job) ? alikeLeft.addTo(alike, -job.waiting()) - job.waiting() : 0;
         boolean deferrable = demand.batchPlanner().deferrable(job, roomComing, now);
-        for (Bin bin : bins) {
+        for (PlannedMachine bin : bins) {
             while (left > 0
                     && (bin.spot || !deferrable)
                     && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap()
@@ -237,7 +207,7 @@
             if (offer == null) {
                 return;
             }
-            Bin bin = new Bin(offer.type(), offer.zone(), offer.spot());
+            PlannedMachine bin = new PlannedMachine(offer.type(), offer.zone(), offer.spot());
             int before = left;
             while (left > 0 && zoneCounts.getOrDefault(bin.zone, 0) < spec.zoneCap() && bin.take(spec)) {
                 zoneCounts.merge(bin.zone, 1, Integer::sum);
@@ -252,8 +222,91 @@
         }
     }
 
-    /** The offer with the lowest cost for each task of this job, from rental to the task's end. */
+    /**
+     * Machines for a whole gang or none: where its tasks have to stand together, in the zone where most room is free or
+     * on its way, as long as machines are to be had there.
+     */
+    private void planGang(ActiveJob job) {
+        JobSpec spec = job.spec;
+        if (!spec.oneZone() || spec.zone() != null) {
+            buyWhole(job, null);
+            return;
+        }
+        List<String> zones = new ArrayList<>(demand.config().zones());
+        zones.removeIf(cutOff);
+        zones.sort(Comparator.comparingInt(zone -> -(freeSlots(spec, zone) + comingSlots(spec, zone))));
+        for (String zone : zones) {
+            if (buyWhole(job, zone)) {
+                return;
+            }
+        }
+    }
+
+    private int freeSlots(JobSpec spec, String zone) {
+        int slots = 0;
+        for (Machine machine : demand.fleet().machines()) {
+            boolean usable = machine.takesTasks()
+                    && machine.allowedFor(spec)
+                    && (zone == null || machine.zone.equals(zone))
+                    && (machine.reservedFor == null || machine.reservedFor.spec.equals(spec));
+            slots += usable ? machine.slots(spec, 0, 0, 0) : 0;
+        }
+        return slots;
+    }
+
+    private int comingSlots(JobSpec spec, String zone) {
+        int slots = 0;
+        for (PlannedMachine bin : bins) {
+            slots += zone == null || bin.zone.equals(zone) ? bin.slots(spec) : 0;
+        }
+        return slots;
+    }
+
+    /** Plans what this gang lacks in the zone (null: in any); false when so much is not to be had there. */
+    private boolean buyWhole(ActiveJob job, String zone) {
+        JobSpec spec = job.spec;
+        int left = spec.tasks() - freeSlots(spec, zone);
+        List<PlannedMachine> used = new ArrayList<>();
+        for (PlannedMachine bin : bins) {
+            while (left > 0 && (zone == null || bin.zone.equals(zone)) && bin.take(spec)) {
+                used.add(bin);
+                left--;
+            }
+        }
+        List<Offer> bought = new ArrayList<>();
+        while (left > 0 && newMachines + bought.size() < MOST_MACHINES) {
+            Offer offer = cheapest(job, true, left, new HashMap<>(), zone);
+            if (offer == null) {
+                used.forEach(bin -> bin.giveBack(spec));
+                return false;
+            }
+            left -= offer.type().slots(spec);
+            bought.add(offer);
+        }
+        for (Offer offer : bought) {
+            newMachines++;
+            PlannedMachine bin = new PlannedMachine(offer.type(), offer.zone(), offer.spot());
+            for (int i = 0; i < spec.tasks(); i++) {
+                bin.take(spec);
+            }
+            bins.add(bin);
+            roomComing += offer.type().cpuMillis();
+            buy(offer, 1);
+        }
+        return true;
+    }
+
     private Offer cheapest(ActiveJob job, boolean fullPrice, int left, Map<String, Integer> zoneCounts) {
+        return cheapest(job, fullPrice, left, zoneCounts, null);
+    }
+
+    /**
+     * The offer with the lowest cost for each task of this job, from rental to the task's end.
+     *
+     * @param onlyZone the zone that it has to be in; null: any
+     */
+    private Offer cheapest(
+            ActiveJob job, boolean fullPrice, int left, Map<String, Integer> zoneCounts, String onlyZone) {
         JobSpec spec = job.spec;
         Offer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -267,7 +320,10 @@
             int used = Math.min(type.slots(spec), left);
             long ready = type.bootMicros() + (long) (spec.imageGb() / type.fetchGbPerSecond() * 1e6);
             for (String zone : type.zones()) {
-                if (!spec.allowsZone(zone) || cutOff.test(zone) || zoneCounts.getOrDefault(zone, 0) >= spec.zoneCap()) {
+                if (!spec.allowsZone(zone)
+                        || (onlyZone != null && !onlyZone.equals(zone))
+                        || cutOff.test(zone)
+                        || zoneCounts.getOrDefault(zone, 0) >= spec.zoneCap()) {
                     continue;
                 }
                 for (boolean spot : new boolean[] {true, false}) {
--- a/src/main/java/org/granitepath/coordination/ReportReconciler.java
+++ b/src/main/java/org/granitepath/coordination/ReportReconciler.java
@@ -189,13 +189,40 @@
                     placement.transition(Placement.Phase.FETCHING, "reported");
                 }
             }
+            case WAITING -> waiting(machine, placement, now);
             case RUNNING -> running(machine, placement, now);
-            case SAVING -> placement.transition(Placement.Phase.STOPPING, "saving");
+            case SAVING -> saving(placement);
             case EXITED -> exited(machine, placement, report, now);
         }
     }
 
+    private void waiting(Machine machine, Placement placement, long now) {
+        machine.imageSeen(placement.job.spec.image());
+        if (placement.phase != Placement.Phase.STOPPING) {
+            placement.transition(Placement.Phase.WAITING, "reported");
+        }
+        if (isOfPresentAttempt(placement)) {
+            placement.job.gangAttempt.waiting(now);
+        }
+    }
+
+    private static boolean isOfPresentAttempt(Placement placement) {
+        GangAttempt attempt = placement.job.gangAttempt;
+        return attempt != null && attempt.number() == placement.attempt;
+    }
+
+    /** A gang saves its progress only when all its tasks are told to: a former leader may not have come to that. */
+    private void saving(Placement placement) {
+        placement.transition(Placement.Phase.STOPPING, "saving");
+        if (isOfPresentAttempt(placement) && placement.job.gangAttempt.phase() == GangAttempt.Phase.RUNNING) {
+            tasks.stop(placement, placement.job.spec.saveMicros(), "a task of its gang saves");
+        }
+    }
+
     private void running(Machine machine, Placement placement, long now) {
+        if (isOfPresentAttempt(placement)) {
+            placement.job.gangAttempt.running();
+        }
         if (placement.runningSinceMicros < 0) {
             placement.runningSinceMicros = now;
             machine.imageSeen(placement.job.spec.image());
@@ -211,7 +238,7 @@
     private void exited(Machine machine, Placement placement, TaskReport report, long now) {
         ActiveJob job = placement.job;
         if (report.cause() == Cause.DONE && !job.spec.service()) {
-            job.markDone(report.task().index());
+            markDone(job, report.task().index());
             machines.drainFaulty(faults.proved(placement, now));
             if (placement.runningSinceMicros >= 0 && placement.certain && !placement.takenOver) {
                 runtimeEstimator.finished(job, now - placement.runningSinceMicros);
@@ -223,11 +250,27 @@
         } else if (report.cause() == Cause.UNKNOWN_JOB || report.cause() == Cause.NO_ROOM) {
             job.notBeforeMicros = now + REFUSED_START_DELAY_MICROS;
         }
+        boolean attemptIsOver = report.cause() == Cause.PEER_GONE || report.cause() == Cause.INCOMPLETE;
+        if (attemptIsOver && isOfPresentAttempt(placement) && !job.gangAttempt.isEnding()) {
+            tasks.stop(placement, 0, "a task of its gang exited: " + report.cause());
+        }
         tasks.free(placement, "exited: " + report.cause());
         jobs.endIfDone(job);
         loop.notePass();
     }
 
+    /** The tasks of a gang complete together: one tells of all. */
+    private static void markDone(ActiveJob job, int task) {
+        if (!job.spec.gang()) {
+            job.markDone(task);
+            return;
+        }
+        job.markAllDone();
+        if (job.gangAttempt != null) {
+            job.gangAttempt.completed();
+        }
+    }
+
     /** A task on the machine that we did not place in this term; true when it is now a placement of ours. */
     private boolean handleUnknownTask(Machine machine, TaskReport report, boolean current, long now) {
         TaskId task = report.task();
@@ -268,9 +311,9 @@
             return;
         }
         Placement other = job.placements.get(task.index());
-        job.markDone(task.index());
+        markDone(job, task.index());
         jobs.recordTaskDone(job);
-        if (other != null) {
+        if (other != null && !job.spec.gang()) {
             tasks.stop(other, 0, "done elsewhere");
         } else {
             jobs.endIfDone(job);
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -9,15 +9,10 @@
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Priority;
 import org.granitepath.bookkeeping.Timers;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The order of jobs and the choice of machines: again and again one task to the job with the lowest share. */
 final class Scheduler {
-    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
     private static final long IMAGE_WAIT_MICROS = 1_500_000;
-    /** A machine on which tasks failed lately comes after all others. */
-    private static final double SUSPECT_PENALTY = 100;
 
     private record Candidate(ActiveJob job, BatchPlanner.SchedulingClass schedulingClass, double share) {}
 
@@ -63,6 +58,8 @@
     private final FairShare fairShare;
     private final BatchPlanner batchPlanner;
     private final Preemptor preemptor;
+    private final MachinePreference preference;
+    private final GangScheduler gangScheduler;
     /** Machines that take tasks and have some room, in this pass. */
     private final List<Machine> roomy = new ArrayList<>();
 
@@ -86,12 +83,15 @@
         this.preemptor = preemptor;
         this.timers = timers;
         this.fairShare = new FairShare(config.tuning());
+        this.preference = new MachinePreference(rules);
+        this.gangScheduler = new GangScheduler(config, fleet, rules, tasks, preference);
     }
 
     /** One pass, until nothing more fits. */
     void pass() {
         long now = timers.nowMicros();
         batchPlanner.update(now);
+        gangScheduler.releaseReservations(now);
         PriorityQueue<Candidate> queue = candidates(now);
         if (queue.isEmpty()) {
             return;
@@ -100,16 +100,14 @@
         List<Needs> unplaceable = new ArrayList<>();
         while (!queue.isEmpty()) {
             ActiveJob job = queue.poll().job();
+            if (job.spec.gang()) {
+                gangScheduler.schedule(job, roomy, now);
+                continue;
+            }
             Needs needs = needs(job);
             if (unplaceable.stream().anyMatch(other -> other.atMost(needs)) || !rules.mayStartAnother(job)) {
                 continue;
             }
-            if (job.spec.gang()) {
-                if (startWhole(job, now) || !holdsRoom(job, now)) {
-                    continue;
-                }
-                break; // room that becomes free now goes to the gang
-            }
             Machine machine = pick(job, now);
             if (machine == null) {
                 unplaceable.add(needs);
@@ -217,8 +215,11 @@
         Machine best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (Machine machine : roomy) {
-            if (machine.hasRoom(job.spec) && machine.takesTasks() && rules.suits(machine, job, now)) {
-                double score = score(machine, job.spec);
+            if (machine.hasRoom(job.spec)
+                    && machine.takesTasks()
+                    && rules.mayHold(machine, job)
+                    && rules.suits(machine, job, now)) {
+                double score = preference.score(machine, job.spec);
                 if (score > bestScore) {
                     bestScore = score;
                     best = machine;
@@ -227,52 +228,4 @@
         }
         return best;
     }
-
-    /**
-     * Machines that have the image come first, then tight fits. Services gather on machines that already hold some,
-     * batch work on the others and on spot machines, so that emptied machines can be returned.
-     */
-    private double score(Machine machine, JobSpec spec) {
-        double score = machine.hasImage(spec.image())
-                ? 20
-                : machine.fetches(spec.image()) ? 10 : machine.type.fetchGbPerSecond();
-        score -= 4.0 * (machine.cpuFree() - spec.cpuMillis()) / machine.type.cpuMillis();
-        score -= rules.isSuspect(machine) ? SUSPECT_PENALTY : 0;
-        boolean mixed = machine.hostsService();
-        return spec.service() ? score + (mixed ? 12 : 0) : score + (machine.spot ? 6 : 0) - (mixed ? 6 : 0);
-    }
-
-    // ---- gangs -------------------------------------------------------------------------------------------------
-
-    /** Starts all that is left of a gang, or nothing. */
-    private boolean startWhole(ActiveJob job, long now) {
-        if (job.running() > 0 || job.claimed < job.spec.tasks()) {
-            return true; // not to be started now: its tasks are still on machines, or not claimed yet
-        }
-        List<Placement> placed = new ArrayList<>();
-        while (job.waiting() > 0) {
-            Machine machine = rules.teamAllows(job.spec) ? pick(job, now) : null;
-            if (machine == null) {
-                placed.forEach(placement -> tasks.withdraw(placement, "the gang does not fit"));
-                return false;
-            }
-            placed.add(tasks.start(job, machine, now));
-        }
-        job.heldSinceMicros = -1;
-        return true;
-    }
-
-    /** Whether freed room is to be held for a gang that is lowest and does not fit; for a set time only. */
-    private boolean holdsRoom(ActiveJob job, long now) {
-        if (job.heldSinceMicros < 0) {
-            job.heldSinceMicros = now;
-        }
-        if (now - job.heldSinceMicros < config.tuning().gangHoldMicros()) {
-            return true;
-        }
-        LOG.debug("gang {} is passed over: it does not fit", job.spec.id());
-        job.heldSinceMicros = -1;
-        job.notBeforeMicros = now + config.tuning().gangHoldMicros();
-        return false;
-    }
 }
--- a/src/main/java/org/granitepath/coordination/TaskLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/TaskLifecycle.java
@@ -38,13 +38,17 @@
 
     /** Decides that the job's next task is to start there. The command goes out with the next answer or call. */
     Placement start(ActiveJob job, Machine machine, long now) {
-        TaskId task = new TaskId(job.spec.id(), job.takeTask());
+        return start(job, job.takeTask(), machine, nextAttempt(), now);
+    }
+
+    private long nextAttempt() {
+        attempts++;
+        return term.fencingToken() * ATTEMPTS_PER_TERM + attempts;
+    }
+
+    private Placement start(ActiveJob job, int index, Machine machine, long attempt, long now) {
+        TaskId task = new TaskId(job.spec.id(), index);
         job.lastStartMicros = now;
-        // The members of a gang find one another by their common attempt.
-        if (!job.spec.gang() || job.placements.isEmpty()) {
-            attempts++;
-        }
-        long attempt = term.fencingToken() * ATTEMPTS_PER_TERM + attempts;
         Placement placement = new Placement(task, job, machine, attempt, machine.session, now);
         place(placement);
         commands.due(machine);
@@ -52,6 +56,24 @@
         return placement;
     }
 
+    /** Decides that a whole gang is to start, one task on each of these machines, under an attempt of its own. */
+    void startGang(ActiveJob job, List<Machine> machines, long now) {
+        job.gangAttempt = new GangAttempt(job.spec.id(), nextAttempt());
+        for (Machine machine : machines) {
+            startInGang(job, job.takeTask(), machine, now);
+        }
+    }
+
+    /** Decides that a task of a gang is to join the others of its attempt. */
+    void startInGang(ActiveJob job, int index, Machine machine, long now) {
+        job.free.remove(index);
+        start(job, index, machine, job.gangAttempt.number(), now);
+        job.gangAttempt.placed(index, machine.id);
+        if (job.waiting() == 0) {
+            job.gangAttempt.complete();
+        }
+    }
+
     /** A task that a former leader started is on this machine: from now on it is ours. */
     Placement adopt(ActiveJob job, Machine machine, Heartbeat.TaskReport report, boolean certain, long now) {
         Placement placement = new Placement(report.task(), job, machine, report.attempt(), machine.session, now);
@@ -60,17 +82,54 @@
         placement.takenOver = true;
         place(placement);
         placement.transition(Placement.Phase.SENT, "taken over");
+        if (job.spec.gang()) {
+            joinAttempt(placement);
+        }
         return placement;
     }
 
+    /** Attempts only grow, and a newer one begins when the older ones are proved gone: what is older is a leftover. */
+    private void joinAttempt(Placement placement) {
+        ActiveJob job = placement.job;
+        long known = job.gangAttempt == null ? Long.MIN_VALUE : job.gangAttempt.number();
+        if (placement.attempt > known) {
+            job.gangAttempt = new GangAttempt(job.spec.id(), placement.attempt);
+            for (Placement older : List.copyOf(job.placements.values())) {
+                if (older.attempt < placement.attempt) {
+                    stopOne(older, 0, "of an older attempt of its gang");
+                }
+            }
+        }
+        if (placement.attempt == job.gangAttempt.number()) {
+            job.gangAttempt.placed(placement.task.index(), placement.machine.id);
+        } else {
+            stopOne(placement, 0, "of an older attempt of its gang");
+        }
+    }
+
     private void place(Placement placement) {
         placement.machine.add(placement);
         placement.job.place(placement);
         teamLimits.placed(placement.job.spec);
     }
 
-    /** Tells the machine to end the task; one that was never sent is freed at once. */
+    /**
+     * Tells the machine to end the task; one that was never sent is freed at once. A task of a gang is of no use
+     * without the others, and saves its progress only together with them: all are stopped at once.
+     */
     void stop(Placement placement, long graceMicros, String why) {
+        ActiveJob job = placement.job;
+        if (job.gangAttempt == null) {
+            stopOne(placement, graceMicros, why);
+            return;
+        }
+        job.gangAttempt.stopping(why);
+        for (Placement each : List.copyOf(job.placements.values())) {
+            stopOne(each, graceMicros, why);
+        }
+    }
+
+    private void stopOne(Placement placement, long graceMicros, String why) {
         if (placement.phase == Placement.Phase.ASSIGNED) {
             free(placement, why);
         } else if (placement.phase == Placement.Phase.STOPPING && graceMicros < placement.graceMicros) {
@@ -103,20 +162,33 @@
         placement.machine.remove(placement, timers.nowMicros());
         teamLimits.freed(placement.job.spec);
         // Taken over from a report that may be old: that it is not here proves nothing about machines not yet heard.
-        placement.job.unplace(placement, !placement.certain && !fleet.allConfirmed());
+        boolean maybeElsewhere = !placement.certain && !fleet.allConfirmed();
+        placement.job.unplace(placement, maybeElsewhere);
+        if (placement.job.gangAttempt != null && !maybeElsewhere) {
+            leftGang(placement);
+        }
         jobs.removeIfOver(placement.job);
     }
 
-    void freeAll(Machine machine, String why) {
-        for (Placement placement : List.copyOf(machine.placements.values())) {
-            free(placement, why);
+    private void leftGang(Placement placement) {
+        ActiveJob job = placement.job;
+        GangAttempt attempt = job.gangAttempt;
+        if (placement.attempt == attempt.number()) {
+            boolean ran = attempt.phase() == GangAttempt.Phase.RUNNING;
+            attempt.taskGone(timers.nowMicros());
+            if (ran) {
+                // The others would notice by themselves; their places are free sooner this way.
+                stop(placement, 0, "a task of its gang is gone");
+            }
+        }
+        if (job.placements.isEmpty()) {
+            job.gangAttempt = null;
         }
     }
 
-    /** It was assigned and not sent, and is not to be after all: there is no more room by that than before. */
-    void withdraw(Placement placement, String why) {
-        if (placement.live()) {
-            release(placement, why);
+    void freeAll(Machine machine, String why) {
+        for (Placement placement : List.copyOf(machine.placements.values())) {
+            free(placement, why);
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/TeamLimits.java
+++ b/src/main/java/org/granitepath/coordination/TeamLimits.java
@@ -35,13 +35,13 @@
         return team != null && (team.cpuLimit() > 0 || team.gpuLimit() > 0);
     }
 
-    /** Whether one more such task is within the limit. */
-    boolean allows(JobSpec spec) {
+    /** Whether so many more such tasks are within the limit. */
+    boolean allows(JobSpec spec, int tasks) {
         if (!limits(spec)) {
             return true;
         }
         Config.Team team = teams.get(spec.team());
-        return (team.cpuLimit() == 0 || cpu.getLong(spec.team()) + spec.cpuMillis() <= team.cpuLimit())
-                && (team.gpuLimit() == 0 || gpu.getLong(spec.team()) + spec.gpuMillis() <= team.gpuLimit());
+        return (team.cpuLimit() == 0 || cpu.getLong(spec.team()) + tasks * spec.cpuMillis() <= team.cpuLimit())
+                && (team.gpuLimit() == 0 || gpu.getLong(spec.team()) + tasks * spec.gpuMillis() <= team.gpuLimit());
     }
 }
--- a/src/main/java/org/granitepath/coordination/WriteQueue.java
+++ b/src/main/java/org/granitepath/coordination/WriteQueue.java
@@ -8,6 +8,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.granitepath.bookkeeping.RecordReplica;
+import org.granitepath.bookkeeping.RecordSize;
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
@@ -176,8 +177,7 @@
                 committed(changes, sent, answer.epoch());
             } else {
                 LOG.debug("transaction on {} ended {} {}", sent.keySet(), answer.outcome(), answer.failed());
-                sent.forEach(pending::putIfAbsent);
-                failed(answer.outcome(), changes.size());
+                failed(answer.outcome(), changes, sent);
             }
         });
     }
@@ -194,20 +194,46 @@
         pump();
     }
 
-    private void failed(Outcome outcome, int changes) {
+    private void failed(Outcome outcome, List<Change> changes, Map<String, Entry> sent) {
+        if (outcome == Outcome.REJECTED && sent.size() == 1) {
+            abandon(changes);
+            goOnAfter(REFUSED_MICROS);
+            return;
+        }
+        sent.forEach(pending::putIfAbsent);
+        if (outcome == Outcome.REJECTED) {
+            mostAtOnce = 1; // the one at fault is found by itself, and the others are written
+            goOnAfter(REFUSED_MICROS);
+            return;
+        }
         if (outcome == Outcome.REFUSED) {
             // Not carried out. A small transaction gets through sooner where others draw on the same budget.
-            mostAtOnce = Math.max(1, changes / 2);
-            timers.after(elastic ? RETRY_MICROS : REFUSED_MICROS, () -> {
-                busy = false;
-                pump();
-            });
+            mostAtOnce = Math.max(1, changes.size() / 2);
+            goOnAfter(elastic ? RETRY_MICROS : REFUSED_MICROS);
             return;
         }
         // Written or still under way: read back before trying again with the stamps as they then are.
         readBack(outcome == Outcome.CONFLICT ? 0 : RETRY_MICROS);
     }
 
+    /** What the state service will never take is not sent again as it stands; a later wish may have other contents. */
+    private static void abandon(List<Change> changes) {
+        for (Change change : changes) {
+            LOG.error(
+                    "the state service rejects the write of {} ({} bytes, {} changes together): it is abandoned",
+                    change.key(),
+                    roughSize(change),
+                    changes.size());
+        }
+    }
+
+    private void goOnAfter(long delayMicros) {
+        timers.after(delayMicros, () -> {
+            busy = false;
+            pump();
+        });
+    }
+
     /** Fills one transaction, most urgent first. Contents are made only while there is room: hundreds may wait. */
     private void gather(long now, List<Change> changes, Map<String, Entry> sent) {
         int most = Math.min(mostAtOnce, Math.max(1, (int) tokens));
@@ -244,10 +270,7 @@
     }
 
     private static int roughSize(Change change) {
-        return CHANGE_OVERHEAD_BYTES
-                + (change.record() == null
-                        ? 0
-                        : change.record().toMap().toString().length());
+        return CHANGE_OVERHEAD_BYTES + (change.record() == null ? 0 : RecordSize.of(change.record()));
     }
 
     private void readBack(long delayMicros) {
--- a/src/main/java/org/granitepath/protocol/WorkerCodec.java
+++ b/src/main/java/org/granitepath/protocol/WorkerCodec.java
@@ -12,9 +12,13 @@
 import org.granitepath.coordination.HeartbeatResponse;
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.WorkerCommand;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reports of workers and commands to them. */
 public final class WorkerCodec {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerCodec.class);
+
     private WorkerCodec() {}
 
     /** Null when it is no report. */
@@ -68,24 +72,47 @@
         } catch (NumberFormatException e) {
             return null;
         }
-        TaskState state = switch (status) {
+        return new TaskReport(
+                id,
+                Fields.longOf(m, "try", 0),
+                taskState(id, status),
+                cause(id, Fields.textOf(m, "cause")),
+                Fields.boolOf(m, "kept"));
+    }
+
+    /** A state that we don't know may be anything: the task counts as being on the machine. */
+    private static TaskState taskState(TaskId task, String word) {
+        return switch (word) {
+            case "pulling" -> TaskState.FETCHING;
+            case "waiting" -> TaskState.WAITING;
             case "running" -> TaskState.RUNNING;
             case "saving" -> TaskState.SAVING;
             case "ended" -> TaskState.EXITED;
-            default -> TaskState.FETCHING;
+            default -> {
+                LOG.warn("task {} is in the unknown state {}", task, word);
+                yield TaskState.FETCHING;
+            }
+        };
+    }
+
+    private static Cause cause(TaskId task, String word) {
+        if (word == null) {
+            return Cause.NONE;
+        }
+        return switch (word) {
+            case "done" -> Cause.DONE;
+            case "stopped" -> Cause.STOPPED;
+            case "error" -> Cause.FAILED;
+            case "full" -> Cause.NO_ROOM;
+            case "in_use" -> Cause.BUSY;
+            case "no_such" -> Cause.UNKNOWN_JOB;
+            case "mates_gone" -> Cause.PEER_GONE;
+            case "alone" -> Cause.INCOMPLETE;
+            default -> {
+                LOG.warn("task {} has exited for the unknown reason {}", task, word);
+                yield Cause.STOPPED;
+            }
         };
-        String cause = Fields.textOf(m, "cause");
-        Cause why = cause == null
-                ? Cause.NONE
-                : switch (cause) {
-                    case "done" -> Cause.DONE;
-                    case "error" -> Cause.FAILED;
-                    case "full" -> Cause.NO_ROOM;
-                    case "in_use" -> Cause.BUSY;
-                    case "no_such" -> Cause.UNKNOWN_JOB;
-                    default -> Cause.STOPPED;
-                };
-        return new TaskReport(id, Fields.longOf(m, "try", 0), state, why, Fields.boolOf(m, "kept"));
     }
 
     /** The status that tells the worker what to do. */
--- a/src/main/java/org/granitepath/transport/StateClient.java
+++ b/src/main/java/org/granitepath/transport/StateClient.java
@@ -91,6 +91,7 @@
         return switch (status) {
             case 0 -> Outcome.UNKNOWN;
             case 200, 201 -> body == null ? Outcome.UNKNOWN : Outcome.OK;
+            case 400 -> Outcome.REJECTED;
             case 404 -> Outcome.NOT_FOUND;
             case 409 -> Outcome.CONFLICT;
             case 410 -> Outcome.GONE;
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -218,10 +218,10 @@
             int left = s.tasks() - completed.getOrDefault(job, Set.of()).size() - held.getOrDefault(job, 0);
             long limit = teams.get(s.team()).cpuLimit();
             boolean could = left > 0
-                    && !s.gang()
+                    && (!s.gang() || wholeGangFits(s, left, held.getOrDefault(job, 0), machines))
                     && !cancelAsked.contains(job)
                     && toldFinal.get(job) == null
-                    && (limit == 0 || teamCpu.getOrDefault(s.team(), 0L) + s.cpuMillis() <= limit)
+                    && (limit == 0 || teamCpu.getOrDefault(s.team(), 0L) + needed(s) <= limit)
                     && machines.stream()
                             .anyMatch(w -> w.wouldTake(s)
                                     && (!s.oneZone() || Set.of(w.zone).containsAll(zones.getOrDefault(job, Set.of())))
@@ -240,6 +240,18 @@
         }
     }
 
+    /** What starting more of the job takes of its team's limit, at least. */
+    private static long needed(JobSpec spec) {
+        return spec.cpuMillis() * (spec.gang() ? spec.tasks() : 1);
+    }
+
+    /** Whether no task of the gang is on a machine, and all would find room, in one zone if they have to. */
+    private static boolean wholeGangFits(JobSpec spec, int left, int held, Collection<SimWorker> machines) {
+        Map<String, Integer> slots = new HashMap<>();
+        machines.forEach(w -> slots.merge(spec.oneZone() ? w.zone : "any", w.slots(spec), Integer::sum));
+        return held == 0 && slots.values().stream().anyMatch(n -> n >= left);
+    }
+
     /**
      * At least half of each class, of each team and of a class's largest jobs is served, and the largest begin in time.
      * A service is served when its tasks have run; other work when it is done.
--- a/src/test/java/org/granitepath/simulation/RulesTest.java
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -207,7 +207,7 @@
         return new SimWorker(
                 world,
                 rules,
-                new SimWorker.Controllers() {
+                new SimControllers() {
                     @Override
                     public List<String> names() {
                         return List.of("n");
@@ -225,6 +225,7 @@
                 },
                 job -> spec(job, 2, false, false, 300_000_000),
                 new HashSet<>(),
+                new SimGangs(world, rules, new HashSet<>()),
                 "i-1",
                 new MachineType("m", 4_000, 0, 4_000, 10, 1, 1, 1, List.of("z")),
                 "z",
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimControllers.java
@@ -0,0 +1,15 @@
+package org.granitepath.simulation;
+
+import java.util.List;
+import org.granitepath.coordination.Heartbeat;
+import org.granitepath.coordination.HeartbeatResponse;
+
+/** How the controllers answer a report that has reached one of them. */
+interface SimControllers {
+    List<String> names();
+
+    HeartbeatResponse heartbeat(String node, Heartbeat heartbeat);
+
+    /** Whether every task of this job fails, wherever it runs. */
+    boolean fails(String job);
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimGangs.java
@@ -0,0 +1,244 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.coordination.Heartbeat.Cause;
+import org.granitepath.coordination.TaskId;
+
+/** What the tasks of gangs know of each other, and how far each gang's work has come. Checkpoints outlive machines. */
+final class SimGangs {
+    /** How long a task waits for the others. */
+    static final long WAIT = 12_000_000;
+    /** Within this time the tasks notice that one of them is gone. */
+    static final long PEER = 3_000_000;
+
+    private final World world;
+    private final Rules rules;
+    private final Set<TaskId> results;
+    private final Map<String, Attempt> attempts = new HashMap<>();
+    /** Progress of each job that is safe. */
+    private final Map<String, Long> saved = new HashMap<>();
+    /** How long each job runs in all. */
+    private final Map<String, Long> totals = new HashMap<>();
+    /** Attempts that have started, and those whose progress was saved by an orderly stop. */
+    int started;
+
+    int savedInOrder;
+    /** Attempts that ended because a task was alone for too long, or gone. */
+    int incomplete;
+
+    int broken;
+
+    SimGangs(World world, Rules rules, Set<TaskId> results) {
+        this.world = world;
+        this.rules = rules;
+        this.results = results;
+    }
+
+    /** A task of a gang that has its image, on its machine. */
+    final class Member {
+        private final Attempt attempt;
+        private final TaskId task;
+        private final BooleanSupplier hangs;
+        private final long since = world.now();
+        private long toldToSaveMicros = -1;
+        private Cause cause;
+        private boolean kept;
+
+        private Member(Attempt attempt, TaskId task, BooleanSupplier hangs) {
+            this.attempt = attempt;
+            this.task = task;
+            this.hangs = hangs;
+        }
+
+        boolean running() {
+            return attempt.phase != Phase.FORMING;
+        }
+
+        boolean saves() {
+            return toldToSaveMicros >= 0;
+        }
+
+        /** Why it is to exit, or null. */
+        Cause exit() {
+            attempt.update();
+            return cause;
+        }
+
+        /** Whether its progress was saved. */
+        boolean kept() {
+            return kept;
+        }
+
+        /** It is told to stop with enough time to save. */
+        void halt() {
+            attempt.halt(this);
+        }
+
+        /** It is on its machine no longer. */
+        void leave() {
+            attempt.leave(this);
+        }
+    }
+
+    private enum Phase {
+        FORMING,
+        RUNNING,
+        STOPPING,
+        OVER
+    }
+
+    private final class Attempt {
+        final JobSpec spec;
+        final Map<Integer, Member> members = new HashMap<>();
+        Phase phase = Phase.FORMING;
+        long startedAt;
+        long progressAtStart;
+        long firstHaltAt = -1;
+        long frozenProgress = -1;
+        long noticedAt = Long.MAX_VALUE;
+
+        Attempt(JobSpec spec) {
+            this.spec = spec;
+        }
+
+        long progress() {
+            return frozenProgress >= 0 ? frozenProgress : progressAtStart + world.now() - startedAt;
+        }
+
+        void update() {
+            switch (phase) {
+                case FORMING -> forming();
+                case RUNNING -> running();
+                case STOPPING -> stopping();
+                case OVER -> {}
+            }
+        }
+
+        private void forming() {
+            boolean whole = members.size() == spec.tasks()
+                    && members.values().stream().noneMatch(m -> m.hangs.getAsBoolean() || m.cause != null);
+            if (whole) {
+                phase = Phase.RUNNING;
+                started++;
+                startedAt = world.now();
+                progressAtStart = saved.getOrDefault(spec.id(), 0L);
+                return;
+            }
+            for (Member member : members.values()) {
+                if (member.cause == null && world.now() - member.since > WAIT) {
+                    member.cause = Cause.INCOMPLETE;
+                    incomplete++;
+                }
+            }
+        }
+
+        private void running() {
+            if (noticedAt != Long.MAX_VALUE
+                    || members.size() < spec.tasks()
+                    || members.values().stream().anyMatch(m -> m.hangs.getAsBoolean())) {
+                noticeLoss();
+            } else if (progress() >= total(spec)) {
+                for (int i = 0; i < spec.tasks(); i++) {
+                    results.add(new TaskId(spec.id(), i));
+                    rules.completed(new TaskId(spec.id(), i));
+                }
+                end(Cause.DONE, false);
+            }
+        }
+
+        /** The save fails, or the others exit a while after one is gone; what was made since the checkpoint is lost. */
+        private void noticeLoss() {
+            if (noticedAt == Long.MAX_VALUE) {
+                long interval = spec.checkpointMicros();
+                if (interval > 0) {
+                    keep(progress() / interval * interval);
+                }
+                frozenProgress = progress();
+                noticedAt = world.now() + world.random.nextInt((int) PEER);
+                broken++;
+            }
+            if (world.now() >= noticedAt) {
+                end(Cause.PEER_GONE, false);
+            }
+        }
+
+        private void stopping() {
+            boolean gone =
+                    members.size() < spec.tasks() || members.values().stream().anyMatch(m -> m.hangs.getAsBoolean());
+            long saves = members.values().stream()
+                    .filter(m -> m.saves() && world.now() - m.toldToSaveMicros >= spec.saveMicros())
+                    .count();
+            if (gone || noticedAt != Long.MAX_VALUE) {
+                noticeLoss();
+            } else if (saves == spec.tasks()) {
+                keep(progress());
+                savedInOrder++;
+                end(Cause.STOPPED, true);
+            } else if (world.now() - firstHaltAt > PEER
+                    && members.values().stream().anyMatch(m -> !m.saves() || m.toldToSaveMicros - firstHaltAt > PEER)) {
+                noticeLoss();
+            }
+        }
+
+        private void keep(long progress) {
+            saved.merge(spec.id(), progress, Math::max);
+        }
+
+        private void end(Cause cause, boolean kept) {
+            phase = Phase.OVER;
+            for (Member member : members.values()) {
+                member.cause = cause;
+                member.kept = kept;
+            }
+        }
+
+        void halt(Member member) {
+            if (phase == Phase.RUNNING) {
+                phase = Phase.STOPPING;
+                firstHaltAt = world.now();
+                frozenProgress = progress();
+            }
+            if (phase == Phase.STOPPING && !member.saves()) {
+                member.toldToSaveMicros = world.now();
+            }
+        }
+
+        void leave(Member member) {
+            members.remove(member.task.index(), member);
+        }
+    }
+
+    private long total(JobSpec spec) {
+        return totals.computeIfAbsent(
+                spec.id(),
+                unknown -> spec.estimateMicros() / 2 + (long) (world.random.nextDouble() * spec.estimateMicros()));
+    }
+
+    /** A task has its image and joins the others of its attempt. */
+    Member join(JobSpec spec, TaskId task, long number, BooleanSupplier hangs) {
+        Attempt attempt = attempts.computeIfAbsent(spec.id() + "#" + number, unknown -> new Attempt(spec));
+        Member member = new Member(attempt, task, hangs);
+        if (attempt.phase != Phase.FORMING) {
+            member.cause = Cause.PEER_GONE;
+        }
+        attempt.members.put(task.index(), member);
+        return member;
+    }
+
+    /** Attempts under way, for rules that look at them. */
+    List<String> running() {
+        List<String> ids = new ArrayList<>();
+        attempts.forEach((id, attempt) -> {
+            if (attempt.phase == Phase.RUNNING) {
+                ids.add(id);
+            }
+        });
+        return ids;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimRuns.java
@@ -0,0 +1,105 @@
+package org.granitepath.simulation;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.MachineType;
+import org.granitepath.coordination.Heartbeat.Cause;
+import org.granitepath.coordination.Heartbeat.TaskState;
+import org.granitepath.coordination.TaskId;
+
+/** The attempts that a stand-in worker knows, exited ones included, and the room that they leave. */
+final class SimRuns {
+    /** One attempt of a task. */
+    static final class Run {
+        final TaskId task;
+        final long attempt;
+        TaskState state = TaskState.FETCHING;
+        Cause cause = Cause.NONE;
+        boolean saved;
+        long until;
+        /** Of a gang, once it has its image. */
+        SimGangs.Member member;
+
+        Run(TaskId task, long attempt) {
+            this.task = task;
+            this.attempt = attempt;
+        }
+    }
+
+    private record Key(TaskId task, long attempt) {}
+
+    private final Map<Key, Run> runs = new LinkedHashMap<>();
+    private final MachineType type;
+    private final Function<String, JobSpec> jobs;
+
+    SimRuns(MachineType type, Function<String, JobSpec> jobs) {
+        this.type = type;
+        this.jobs = jobs;
+    }
+
+    Collection<Run> all() {
+        return runs.values();
+    }
+
+    Run get(TaskId task, long attempt) {
+        return runs.get(new Key(task, attempt));
+    }
+
+    void add(Run run) {
+        runs.put(new Key(run.task, run.attempt), run);
+    }
+
+    void remove(Run run) {
+        runs.remove(new Key(run.task, run.attempt));
+    }
+
+    void clear() {
+        runs.clear();
+    }
+
+    boolean busy() {
+        return runs.values().stream().anyMatch(run -> run.state == TaskState.RUNNING);
+    }
+
+    /** Whether another attempt of the same task is here. */
+    boolean holdsOther(Run run) {
+        return runs.values().stream()
+                .anyMatch(other -> other != run && other.state != TaskState.EXITED && other.task.equals(run.task));
+    }
+
+    /** Tasks that are here or on their way, by job. */
+    Map<String, Integer> held() {
+        Map<String, Integer> held = new HashMap<>();
+        runs.values().stream()
+                .filter(run -> run.state != TaskState.EXITED)
+                .forEach(run -> held.merge(run.task.job(), 1, Integer::sum));
+        return held;
+    }
+
+    /** Whether such a task fits beside all that is here, {@code itself} aside. */
+    boolean hasRoom(JobSpec spec, Run itself) {
+        return slots(spec, itself) > 0;
+    }
+
+    /** How many such tasks fit beside all that is here. */
+    int slots(JobSpec spec) {
+        return slots(spec, null);
+    }
+
+    private int slots(JobSpec spec, Run without) {
+        long cpu = type.cpuMillis();
+        long memory = type.memoryMillis();
+        for (Run run : runs.values()) {
+            if (run != without && run.state != TaskState.EXITED) {
+                JobSpec other = jobs.apply(run.task.job());
+                cpu -= other.cpuMillis();
+                memory -= other.memoryMillis();
+            }
+        }
+        return MachineType.slots(spec, cpu, type.gpuMillis(), memory);
+    }
+}
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -1,9 +1,7 @@
 package org.granitepath.simulation;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,6 +16,7 @@
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.WorkerCommand;
 import org.granitepath.protocol.WorkerCodec;
+import org.granitepath.simulation.SimRuns.Run;
 
 /** A stand-in for a machine's worker, as the protocol describes it. */
 final class SimWorker {
@@ -26,42 +25,19 @@
 
     private static final long PATIENCE = 4_000_000;
 
-    private static final class Run {
-        final TaskId task;
-        final long attempt;
-        TaskState state = TaskState.FETCHING;
-        Cause cause = Cause.NONE;
-        boolean saved;
-        long until;
-
-        Run(TaskId task, long attempt) {
-            this.task = task;
-            this.attempt = attempt;
-        }
-    }
-
-    /** How the controllers answer a report that has reached one of them. */
-    interface Controllers {
-        List<String> names();
-
-        HeartbeatResponse heartbeat(String node, Heartbeat heartbeat);
-
-        /** Whether every task of this job fails, wherever it runs. */
-        boolean fails(String job);
-    }
-
     private final World world;
     private final Rules rules;
-    private final Controllers controllers;
+    private final SimControllers controllers;
     private final Function<String, JobSpec> jobs;
     private final Set<TaskId> results;
+    private final SimGangs gangs;
     final String id;
     final MachineType type;
     final String zone;
     final boolean spot;
     private final long reportMicros;
     private final long leaseMicros;
-    private final Map<String, Run> runs = new LinkedHashMap<>();
+    private final SimRuns runs;
     private final Set<String> images = new HashSet<>();
     private long session = 1;
     private long sequence;
@@ -85,9 +61,10 @@
     SimWorker(
             World world,
             Rules rules,
-            Controllers controllers,
+            SimControllers controllers,
             Function<String, JobSpec> jobs,
             Set<TaskId> results,
+            SimGangs gangs,
             String id,
             MachineType type,
             String zone,
@@ -99,6 +76,8 @@
         this.controllers = controllers;
         this.jobs = jobs;
         this.results = results;
+        this.gangs = gangs;
+        this.runs = new SimRuns(type, jobs);
         this.id = id;
         this.type = type;
         this.zone = zone;
@@ -120,30 +99,17 @@
     }
 
     boolean busy() {
-        return runs.values().stream().anyMatch(r -> r.state == TaskState.RUNNING);
+        return runs.busy();
     }
 
     /** Tasks that are here or on their way, by job. */
     Map<String, Integer> held() {
-        Map<String, Integer> held = new HashMap<>();
-        runs.values().stream()
-                .filter(r -> r.state != TaskState.EXITED)
-                .forEach(r -> held.merge(r.task.job(), 1, Integer::sum));
-        return held;
+        return runs.held();
     }
 
-    /** Whether such a task fits beside all that is here, {@code itself} aside. */
-    private boolean hasRoom(JobSpec spec, Run itself) {
-        long cpu = spec.cpuMillis();
-        long memory = spec.memoryMillis();
-        for (Run r : runs.values()) {
-            if (r != itself && r.state != TaskState.EXITED) {
-                JobSpec s = jobs.apply(r.task.job());
-                cpu += s.cpuMillis();
-                memory += s.memoryMillis();
-            }
-        }
-        return cpu <= type.cpuMillis() && memory <= type.memoryMillis();
+    /** How many such tasks fit here now, and could start. */
+    int slots(JobSpec spec) {
+        return wouldTake(spec) ? runs.slots(spec) : 0;
     }
 
     /** Whether one more such task fits here now, and could start. */
@@ -152,7 +118,7 @@
                 && !hanging
                 && !faulty
                 && noticeEnd < 0
-                && hasRoom(spec, null)
+                && runs.hasRoom(spec, null)
                 && spec.allowsType(type.name())
                 && spec.allowsZone(zone)
                 && (spec.spot() || !spot);
@@ -188,14 +154,23 @@
     }
 
     private void killAll() {
-        for (Run r : runs.values()) {
-            if (r.state == TaskState.RUNNING || r.state == TaskState.SAVING) {
-                rules.left(r.task, id);
-            }
+        for (Run r : runs.all()) {
+            leave(r);
         }
         runs.clear();
     }
 
+    /** A task that is on the machine is so no longer. */
+    private void leave(Run r) {
+        if (r.state == TaskState.WAITING || r.state == TaskState.RUNNING || r.state == TaskState.SAVING) {
+            rules.left(r.task, id);
+        }
+        if (r.member != null) {
+            r.member.leave();
+            r.member = null;
+        }
+    }
+
     private void expireIfDue() {
         if (world.now() - leaseFrom > leaseMicros) {
             killAll();
@@ -215,8 +190,10 @@
         if (hanging) {
             return;
         }
-        for (Run r : runs.values()) {
-            if (r.state != TaskState.EXITED && world.now() >= r.until) {
+        for (Run r : runs.all()) {
+            if (r.member != null) {
+                advanceInGang(r);
+            } else if (r.state != TaskState.EXITED && world.now() >= r.until) {
                 advance(r);
             }
         }
@@ -235,6 +212,12 @@
         if (r.state == TaskState.FETCHING) {
             images.add(spec.image());
             rules.started(r.task, id, type.name(), zone, spot);
+            if (spec.gang() && !results.contains(r.task) && !fails(r)) {
+                r.state = TaskState.WAITING;
+                r.until = Long.MAX_VALUE;
+                r.member = gangs.join(spec, r.task, r.attempt, this::hangs);
+                return;
+            }
             r.state = TaskState.RUNNING;
             long run = results.contains(r.task)
                     ? 0
@@ -251,10 +234,21 @@
         }
     }
 
-    private void end(Run r, Cause cause) {
-        if (r.state == TaskState.RUNNING || r.state == TaskState.SAVING) {
-            rules.left(r.task, id);
+    private void advanceInGang(Run r) {
+        Cause cause = r.member.exit();
+        if (cause != null) {
+            r.saved = r.member.kept();
+            end(r, cause);
+            return;
         }
+        TaskState state =
+                r.member.saves() ? TaskState.SAVING : r.member.running() ? TaskState.RUNNING : TaskState.WAITING;
+        changed |= state != r.state;
+        r.state = state;
+    }
+
+    private void end(Run r, Cause cause) {
+        leave(r);
         if (cause == Cause.DONE) {
             results.add(r.task);
             rules.completed(r.task);
@@ -266,7 +260,7 @@
 
     private Heartbeat heartbeat() {
         List<TaskReport> list = new ArrayList<>();
-        for (Run r : runs.values()) {
+        for (Run r : runs.all()) {
             list.add(new TaskReport(r.task, r.attempt, r.state, r.cause, r.saved));
         }
         return new Heartbeat(
@@ -343,12 +337,11 @@
         for (WorkerCommand o : commands) {
             // Through the wire's words and back, as between real processes.
             assert WorkerCodec.encodeCommands(fencingToken, session, List.of(o)) != null;
-            String key = o.task() + "#" + o.attempt();
-            Run r = runs.get(key);
+            Run r = runs.get(o.task(), o.attempt());
             switch (o.verb()) {
                 case START -> {
                     if (r == null) {
-                        start(o, key);
+                        start(o);
                     }
                 }
                 case STOP -> {
@@ -358,26 +351,25 @@
                 }
                 case CLEAR -> {
                     if (r != null && r.state == TaskState.EXITED) {
-                        runs.remove(key);
+                        runs.remove(r);
                     }
                 }
             }
         }
     }
 
-    private void start(WorkerCommand o, String key) {
+    private void start(WorkerCommand o) {
         changed = true;
         Run r = new Run(o.task(), o.attempt());
         JobSpec spec = jobs.apply(o.task().job());
-        runs.put(key, r);
+        runs.add(r);
         if (spec == null || o.task().index() >= spec.tasks()) {
             r.state = TaskState.EXITED;
             r.cause = Cause.UNKNOWN_JOB;
             return;
         }
-        boolean busy = runs.values().stream()
-                .anyMatch(other -> other != r && other.state != TaskState.EXITED && other.task.equals(r.task));
-        if (busy || !hasRoom(spec, r)) {
+        boolean busy = runs.holdsOther(r);
+        if (busy || !runs.hasRoom(spec, r)) {
             r.state = TaskState.EXITED;
             r.cause = busy ? Cause.BUSY : Cause.NO_ROOM;
             return;
@@ -388,6 +380,12 @@
 
     private void stop(Run r, long grace) {
         JobSpec spec = jobs.apply(r.task.job());
+        boolean savesInGang = r.member != null && r.member.running() && spec.checkpointMicros() > 0;
+        if (savesInGang && grace > 0 && grace >= spec.saveMicros()) {
+            r.member.halt();
+            changed = true;
+            return;
+        }
         if (r.state == TaskState.RUNNING && spec.checkpointMicros() > 0 && grace >= spec.saveMicros()) {
             r.state = TaskState.SAVING;
             r.until = world.now() + spec.saveMicros();
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -22,6 +22,7 @@
 import org.granitepath.coordination.JobResponse;
 import org.granitepath.coordination.JobResponse.JobState;
 import org.granitepath.coordination.PeerPort;
+import org.granitepath.coordination.StateLimits;
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.WorkerCommand;
 import org.granitepath.coordination.WorkerPort;
@@ -74,10 +75,10 @@
                     shape.report,
                     shape.lease,
                     shape.cancel,
+                    SimGangs.WAIT,
+                    SimGangs.PEER,
                     shape.requests,
-                    shape.writes,
-                    shape.valueBytes,
-                    shape.txnOps,
+                    limits,
                     5,
                     250_000,
                     shape.connections,
@@ -156,6 +157,9 @@
     }
 
     final Shape shape;
+    final SimGangs gangs;
+    /** What the settings say of the limits of the state service. */
+    private final StateLimits limits;
 
     final List<String> names;
     final World world;
@@ -199,6 +203,8 @@
         names = IntStream.range(0, shape.controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
         rules = new Rules(world, TEAMS, shape.cancel, this::endedOnMachines);
+        gangs = new SimGangs(world, rules, results);
+        limits = new StateLimits(shape.writes, shape.valueBytes, shape.txnOps);
         state = new SimState(world, shape.txnOps, shape.valueBytes, shape.requests, shape.writes);
         List<MachineType> types = List.of(
                 new MachineType("small", 4_000, 0, 16_000, 0.5, 0.24, 0.07, 8 * SECOND, ZONES),
@@ -211,7 +217,7 @@
                 (id, h) -> new SimWorker(
                         world,
                         rules,
-                        new SimWorker.Controllers() {
+                        new SimControllers() {
                             @Override
                             public List<String> names() {
                                 return names;
@@ -236,6 +242,7 @@
                         },
                         jobs::get,
                         results,
+                        gangs,
                         id,
                         types.stream()
                                 .filter(t -> t.name().equals(h.type()))
@@ -535,7 +542,7 @@
                 id,
                 service ? "svc" : "bat",
                 team,
-                service ? JobSpec.Shape.SERVICE : tasks % 5 == 4 ? JobSpec.Shape.GANG : JobSpec.Shape.BATCH,
+                service ? JobSpec.Shape.SERVICE : isGang(tasks, oneZone) ? JobSpec.Shape.GANG : JobSpec.Shape.BATCH,
                 priority,
                 tasks,
                 service ? 1_000 : 2_000,
@@ -554,6 +561,12 @@
                 service ? JobSpec.NO_DEADLINE : 2 * runMicros + 30 * SECOND);
     }
 
+    /** Some sizes are gangs, unless a zone of this deployment, services beside them, could never hold one whole. */
+    private boolean isGang(int tasks, boolean oneZone) {
+        long fullPriceCpu = shape.perOffer * (4_000L + 16_000);
+        return tasks % 5 == 4 && (!oneZone || tasks * 2_000L <= fullPriceCpu / 2);
+    }
+
     /** Another job like this one, of so many tasks that take so little. */
     JobSpec withCpu(JobSpec j, int tasks, long cpuMillis) {
         String id = String.format("run-%06d", ++submissions);
