Tests of gangs and of the upgrade; values that one transaction can't split stay as they are

The simulated state service rejects what exceeds its limits. UpgradeTest found that a value with more machines than one transaction can spread blocked every write of the inventory; it now stays as it is, and is split once enough of its machines are gone.

--- a/src/main/java/org/granitepath/bookkeeping/InventoryRecord.java
+++ b/src/main/java/org/granitepath/bookkeeping/InventoryRecord.java
@@ -10,6 +10,9 @@
  * matters only where it is higher than the one there: this machine's own, drawn when a command to it had no answer.
  */
 public record InventoryRecord(List<Host> hosts) implements StoredRecord {
+    /** More tokens than will ever be drawn. */
+    private static final long LARGEST_TOKEN = 999_999_999_999L;
+
     /** Keeps a copy of the list. */
     public InventoryRecord {
         hosts = List.copyOf(hosts);
@@ -23,7 +26,7 @@
 
         /** The bytes that this machine's row takes, whatever its token may be later. */
         public int largestRowBytes() {
-            Host latest = new Host(id, address, type, zone, spot, Long.MAX_VALUE);
+            Host latest = new Host(id, address, type, zone, spot, LARGEST_TOKEN);
             return RecordSize.ofValue(latest.toRow()) + 1;
         }
     }
--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -184,7 +184,7 @@
         return job.waiting() > 0
                 && job.waitingSinceMicros >= 0
                 && job.notBeforeMicros <= now
-                && job.gangAttempt == null
+                && (job.gangAttempt == null || job.gangAttempt.mayBeCompleted())
                 && rules.teamAllows(job.spec);
     }
 
--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -61,6 +61,12 @@
      */
     private final ArrayDeque<List<Integer>> splits = new ArrayDeque<>();
 
+    /** Large values with more machines than one transaction can spread: they stay as they are until it can. */
+    private final Set<Integer> unsplittable = new HashSet<>();
+
+    /** How many values are on record, without a gap. */
+    private int valuesOnRecord;
+
     private boolean splitting;
     private final Set<Integer> dirty = new HashSet<>();
     // What the transaction under way holds.
@@ -117,6 +123,7 @@
                             .mapToInt(MachineInventory::rowBytes)
                             .sum());
         }
+        valuesOnRecord = values.size();
         splitLargeValues(inherited);
         return inherited;
     }
@@ -126,24 +133,33 @@
         int onRecord = values.size();
         for (int part = 0; part < onRecord; part++) {
             if (usedBytes.getInt(part) > valueBytes) {
-                split(part, inherited);
+                int large = part;
+                split(
+                        part,
+                        inherited.stream()
+                                .filter(machine -> machine.inventoryPart == large)
+                                .toList());
             }
         }
+        if (!unsplittable.isEmpty()) {
+            LOG.warn(
+                    "{} values of the machine inventory hold more than one transaction can spread: they stay as they "
+                            + "are until machines are gone, and machines there that need a new fencing token stay unused",
+                    unsplittable.size());
+        }
         if (!splits.isEmpty()) {
             LOG.info("{} values of the machine inventory are split: they exceed {} bytes", splits.size(), valueBytes);
             changed(splits.peek().get(0));
         }
     }
 
-    private void split(int part, List<Machine> inherited) {
-        List<Machine> machines = inherited.stream()
-                .filter(machine -> machine.inventoryPart == part)
-                .toList();
+    private void split(int part, List<Machine> machines) {
         List<List<Machine>> pieces = pieces(machines);
         if (pieces.size() > config.stateLimits().txnOps()) {
-            LOG.error("value {} of the machine inventory can't be split in one transaction: it stays as it is", part);
+            unsplittable.add(part);
             return;
         }
+        unsplittable.remove(part);
         List<Integer> group = new ArrayList<>();
         for (List<Machine> piece : pieces) {
             int target = group.isEmpty() ? part : values.size();
@@ -204,6 +220,9 @@
         if (values.get(part).remove(machine.id)) {
             usedBytes.set(part, usedBytes.getInt(part) - rowBytes(machine));
         }
+        if (unsplittable.contains(part)) {
+            split(part, values.get(part).stream().map(fleet::machine).toList());
+        }
         changed(part);
     }
 
@@ -245,7 +264,7 @@
         withNewToken.clear();
         added.clear();
         written.clear();
-        splitting = !splits.isEmpty();
+        splitting = !splits.isEmpty() && beginsWithinRecord(splits.peek());
         List<Change> changes = splitting ? splitChanges(splits.peek()) : dirtyChanges();
         if (!withNewToken.isEmpty()) {
             changes.add(Change.write(
@@ -255,6 +274,11 @@
         return changes;
     }
 
+    /** Whether the values that a split adds would follow those on record without a gap. */
+    private boolean beginsWithinRecord(List<Integer> group) {
+        return group.size() == 1 || group.get(1) <= valuesOnRecord;
+    }
+
     /** One large value in parts. No token is drawn: the counter might not fit into the same transaction. */
     private List<Change> splitChanges(List<Integer> group) {
         List<Change> changes = new ArrayList<>();
@@ -275,8 +299,13 @@
         drawn = (counter == null ? term.fencingToken() : counter.last()) + 1;
         List<Change> changes = new ArrayList<>();
         for (int i = 0; i < values.size() && written.size() < valuesAtOnce; i++) {
-            if (dirty.contains(i)) {
-                changes.add(valueChange(i, true));
+            int part = i;
+            boolean toBeSplit = splits.stream().anyMatch(group -> group.contains(part));
+            if (toBeSplit && part >= valuesOnRecord) {
+                break; // what comes after it must not be on record before it
+            }
+            if (dirty.contains(part) && !toBeSplit && !unsplittable.contains(part)) {
+                changes.add(valueChange(part, true));
             }
         }
         // A change that comes while the transaction is under way makes its value dirty once more.
@@ -307,7 +336,9 @@
             splits.remove();
             splitting = false;
         }
+        written.forEach(part -> valuesOnRecord = Math.max(valuesOnRecord, part + 1));
         written.clear();
+        dirty.removeAll(unsplittable);
         cleanupDue &= !dirty.isEmpty();
         for (Machine machine : added) {
             machine.recorded = true;
--- a/src/main/java/org/granitepath/coordination/RentalPlan.java
+++ b/src/main/java/org/granitepath/coordination/RentalPlan.java
@@ -233,7 +233,7 @@
             return;
         }
         List<String> zones = new ArrayList<>(demand.config().zones());
-        zones.removeIf(cutOff);
+        zones.removeIf(zone -> cutOff.test(zone) || !job.zoneAllows(zone));
         zones.sort(Comparator.comparingInt(zone -> -(freeSlots(spec, zone) + comingSlots(spec, zone))));
         for (String zone : zones) {
             if (buyWhole(job, zone)) {
@@ -265,7 +265,7 @@
     /** Plans what this gang lacks in the zone (null: in any); false when so much is not to be had there. */
     private boolean buyWhole(ActiveJob job, String zone) {
         JobSpec spec = job.spec;
-        int left = spec.tasks() - freeSlots(spec, zone);
+        int left = job.waiting() - freeSlots(spec, zone);
         List<PlannedMachine> used = new ArrayList<>();
         for (PlannedMachine bin : bins) {
             while (left > 0 && (zone == null || bin.zone.equals(zone)) && bin.take(spec)) {
--- a/src/test/java/org/granitepath/simulation/SimGangs.java
+++ b/src/test/java/org/granitepath/simulation/SimGangs.java
@@ -1,8 +1,6 @@
 package org.granitepath.simulation;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -231,14 +229,16 @@
         return member;
     }
 
-    /** Attempts under way, for rules that look at them. */
-    List<String> running() {
-        List<String> ids = new ArrayList<>();
-        attempts.forEach((id, attempt) -> {
-            if (attempt.phase == Phase.RUNNING) {
-                ids.add(id);
-            }
-        });
-        return ids;
+    /** How many attempts of a job there have been. */
+    long attemptsOf(String job) {
+        return attempts.values().stream()
+                .filter(attempt -> attempt.spec.id().equals(job))
+                .count();
+    }
+
+    /** Whether all tasks of the job run, as far as they know. */
+    boolean runs(String job) {
+        return attempts.values().stream()
+                .anyMatch(attempt -> attempt.spec.id().equals(job) && attempt.phase == Phase.RUNNING);
     }
 }
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.StatePort;
+import org.granitepath.coordination.StateLimits;
 import org.granitepath.protocol.Json;
 
 /** A stand-in for the state service. Values pass through JSON text, as over the wire. */
@@ -17,6 +18,7 @@
     static final String NAME = "state";
     private static final long TIMEOUT = 2_000_000;
     private static final int LOG_KEPT = 400;
+    private static final int GUARDS_PER_CHANGE = 4;
 
     private record Stored(String json, long stamp, long lease) {}
 
@@ -38,8 +40,8 @@
     private final Set<String> refused = new HashSet<>();
     private final Set<String> blind = new HashSet<>();
     private final Set<String> readOnly = new HashSet<>();
-    private final int txnOps;
-    private final int valueBytes;
+    private int txnOps;
+    private int valueBytes;
     private boolean outage;
 
     /** Changes of a key so far. */
@@ -66,7 +68,7 @@
 
     int refusals;
     private final double requestsPerSecond;
-    private final double writesPerSecond;
+    private double writesPerSecond;
     private double requestTokens;
     private double writeTokens;
     private long tokensAt;
@@ -82,6 +84,13 @@
         world.after(50_000, this::expire);
     }
 
+    /** The limits change without notice; what is stored stays readable. */
+    void lowerLimits(StateLimits next) {
+        txnOps = next.txnOps();
+        valueBytes = next.valueBytes();
+        writesPerSecond = next.writesPerSecond();
+    }
+
     void outage(long forMicros) {
         setOutage(true);
         world.after(forMicros, () -> setOutage(false));
@@ -196,9 +205,23 @@
         return new StatePort.Page(StatePort.Outcome.OK, items, false, epoch);
     }
 
+    private boolean exceedsLimits(StatePort.Txn txn) {
+        return txn.changes().size() > txnOps
+                || txn.guards().size() > GUARDS_PER_CHANGE * txnOps
+                || txn.changes().stream()
+                        .anyMatch(c -> c.record() != null
+                                && Json.text(c.record().toMap()).length() > valueBytes);
+    }
+
+    /** The largest value that is stored. */
+    int largestValue() {
+        return keys.values().stream().mapToInt(s -> s.json().length()).max().orElse(0);
+    }
+
     private StatePort.Committed commit(StatePort.Txn txn) {
-        if (txn.changes().size() > txnOps) {
+        if (exceedsLimits(txn)) {
             oversized++;
+            return new StatePort.Committed(StatePort.Outcome.REJECTED, epoch, List.of());
         }
         if (txn.changes().stream().anyMatch(c -> c.key().startsWith(Keys.JOB))
                 && txn.guards().stream().noneMatch(g -> g.key().equals(Keys.LEADER))) {
@@ -223,9 +246,7 @@
         for (StatePort.Change c : txn.changes()) {
             writesByKey.merge(c.key(), 1, Integer::sum);
             String json = c.record() == null ? null : Json.text(c.record().toMap());
-            if (json != null && json.length() > valueBytes) {
-                oversized++;
-            }
+
             if (json == null) {
                 keys.remove(c.key());
             } else {
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -78,7 +78,7 @@
                     SimGangs.WAIT,
                     SimGangs.PEER,
                     shape.requests,
-                    limits,
+                    upgraded.contains(name) ? limits.within(nextLimits) : limits,
                     5,
                     250_000,
                     shape.connections,
@@ -160,6 +160,10 @@
     final SimGangs gangs;
     /** What the settings say of the limits of the state service. */
     private final StateLimits limits;
+    /** What controllers keep to once they are upgraded; null: nothing changes. */
+    StateLimits nextLimits;
+
+    private final Set<String> upgraded = new HashSet<>();
 
     final List<String> names;
     final World world;
@@ -370,6 +374,12 @@
         }
     }
 
+    /** A controller ends and comes back with the next version, which knows of the next limits. */
+    void upgrade(String node, long downMicros) {
+        upgraded.add(node);
+        crash(node, downMicros);
+    }
+
     /** A controller stands still while its clocks run on. */
     void freeze(String node, long forMicros) {
         world.freeze(node);
