--- a/src/main/java/org/granitepath/coordination/GangScheduler.java
+++ b/src/main/java/org/granitepath/coordination/GangScheduler.java
@@ -89,7 +89,13 @@
             reserve(job, now);
             return;
         }
-        LOG.debug("gang {} starts whole, {} tasks fetch their image", job.spec.id(), best.fetches());
+        LOG.info(
+                "gang {} of {} starts {} tasks after {} ms, {} fetch their image",
+                job.spec.id(),
+                job.spec.jobClass(),
+                job.spec.tasks(),
+                (now - job.waitingSinceMicros) / 1_000,
+                best.fetches());
         job.reservedSinceMicros = -1;
         tasks.startGang(job, best.machines(), now);
     }
--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -143,7 +143,7 @@
         }
         if (!unsplittable.isEmpty()) {
             LOG.warn(
-                    "{} values of the machine inventory hold more than one transaction can spread: they stay as they "
+                    "{} values of the machine inventory are more than one transaction can spread: they stay as they "
                             + "are until machines are gone, and machines there that need a new fencing token stay unused",
                     unsplittable.size());
         }
