--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -143,8 +143,8 @@
         }
         if (!unsplittable.isEmpty()) {
             LOG.warn(
-                    "{} values of the machine inventory are more than one transaction can spread: they stay as they "
-                            + "are until machines are gone, and machines there that need a new fencing token stay unused",
+                    "{} values of the machine inventory hold more than one transaction can spread: they stay "
+                            + "as they are until machines are gone, and machines there that need a new token stay unused",
                     unsplittable.size());
         }
         if (!splits.isEmpty()) {
--- a/src/main/java/org/granitepath/coordination/Preemptor.java
+++ b/src/main/java/org/granitepath/coordination/Preemptor.java
@@ -25,6 +25,10 @@
      * stopped there for the next.
      */
     private static final long RECLAIM_DELAY_MICROS = 2_000_000;
+    /** What starting anew costs a task; a gang has to find room for all its tasks together once more. */
+    private static final long RESTART_MICROS = 1_000_000;
+
+    private static final long GANG_RESTART_MICROS = 15_000_000;
 
     /** What to stop on one machine so that at least one more task fits there. */
     private record Preemption(Machine machine, List<Placement> victims, double loss, int slots) {}
@@ -178,17 +182,17 @@
     private static double loss(Placement placement, long now) {
         return placement.job.spec.gang()
                 ? placement.job.placements.values().stream()
-                        .mapToDouble(each -> ownLoss(each, now))
+                        .mapToDouble(each -> ownLoss(each, GANG_RESTART_MICROS, now))
                         .sum()
-                : ownLoss(placement, now);
+                : ownLoss(placement, RESTART_MICROS, now);
     }
 
-    private static double ownLoss(Placement placement, long now) {
+    private static double ownLoss(Placement placement, long restartMicros, long now) {
         long ran = placement.runningSinceMicros < 0 ? 0 : now - placement.runningSinceMicros;
         long interval = placement.job.spec.checkpointMicros();
         long unsaved = interval > 0 ? ran % interval : ran;
         return (double) placement.job.spec.cpuMillis()
-                * (unsaved + 1_000_000)
+                * (unsaved + restartMicros)
                 * (placement.job.spec.priority().above(Priority.BEST_EFFORT) ? 3 : 1);
     }
 }
