--- a/src/main/java/org/granitepath/coordination/Autoscaler.java
+++ b/src/main/java/org/granitepath/coordination/Autoscaler.java
@@ -38,6 +38,7 @@
     private final Fleet fleet;
     private final ActiveJobs activeJobs;
     private final PlacementRules rules;
+    private final GangHeadroom gangHeadroom;
     private final MachineLifecycle machines;
     private final BooleanSupplier ended;
     private final FleetSummary summary;
@@ -65,6 +66,7 @@
             Config config,
             RentalPlan.Demand demand,
             PlacementRules rules,
+            GangHeadroom gangHeadroom,
             MachineLifecycle machines,
             Leadership leadership,
             Peers peers,
@@ -77,6 +79,7 @@
         this.fleet = demand.fleet();
         this.activeJobs = demand.jobs();
         this.rules = rules;
+        this.gangHeadroom = gangHeadroom;
         this.machines = machines;
         this.leadership = leadership;
         this.failureDetector = new FailureDetector(config, fleet, peers);
@@ -293,6 +296,7 @@
             }
         }
         boolean trustSilence = failureDetector.trusted(now);
+        gangHeadroom.survey();
         for (Machine machine : List.copyOf(fleet.machines())) {
             if (ids.size() >= RETURN_AT_ONCE) {
                 break;
@@ -300,16 +304,13 @@
             boolean trust = (trustSilence && !failureDetector.waitedFor(machine, now))
                     || now - machine.heardMicros > partitionTimeoutMicros();
             boolean dead = trust && now - machine.heardMicros > failureTimeoutMicros(machine);
-            boolean idle = machine.phase == Machine.Phase.READY
-                    && machine.placements.isEmpty()
-                    && machine.reservedFor == null
-                    && now - machine.idleSinceMicros > idleMicros(machine)
-                    && now - machine.rentedMicros > LEAST_CHARGE_MICROS;
+            boolean idle = isIdle(machine, now) && !gangHeadroom.keeps(machine);
             machine.keptAsHeadroom = idle && !machine.spot && headroomSpare < machine.cpuFree();
             if (machine.keptAsHeadroom) {
                 idle = false;
             } else if (idle && !machine.spot) {
                 headroomSpare -= machine.cpuFree();
+                gangHeadroom.returned(machine);
             }
             // Its reports come, but our answers and commands don't get there.
             boolean deaf = machine.phase == Machine.Phase.UNCONFIRMED
@@ -344,6 +345,14 @@
         });
     }
 
+    private boolean isIdle(Machine machine, long now) {
+        return machine.phase == Machine.Phase.READY
+                && machine.placements.isEmpty()
+                && machine.reservedFor == null
+                && now - machine.idleSinceMicros > idleMicros(machine)
+                && now - machine.rentedMicros > LEAST_CHARGE_MICROS;
+    }
+
     /**
      * How long a machine may stand idle: as long as a new one would take to boot, so that keeping it never costs much
      * more than letting it go; longer on spot machines, which cost little and may not be had again.
--- a/src/main/java/org/granitepath/coordination/BatchPlanner.java
+++ b/src/main/java/org/granitepath/coordination/BatchPlanner.java
@@ -37,6 +37,7 @@
     private final ActiveJobs activeJobs;
     private final RuntimeEstimator runtimeEstimator;
     private long dueMicros;
+    private long promptGangCpu;
     private double batchWork;
     /** Of it, that with a deadline: it goes before the rest. */
     private double urgentWork;
@@ -88,6 +89,16 @@
         }
         selectFeasible(extended, new ArrayList<>(), SchedulingClass.NEARLY, taken);
         putGuaranteedFirst();
+        promptGangCpu = activeJobs.all().stream()
+                .filter(job -> job.spec.gang() && mustStartAtOnce(job))
+                .mapToLong(job -> job.spec.cpuMillis() * job.spec.tasks())
+                .max()
+                .orElse(0);
+    }
+
+    /** CPUs of the largest gang at hand that is expected to start sooner than a machine boots; 0: there is none. */
+    long promptGangCpu() {
+        return promptGangCpu;
     }
 
     /**
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -107,12 +107,32 @@
         PlacementRules rules = new PlacementRules(fleet, activeJobs, teamLimits, faults, runtimeEstimator);
         BatchPlanner batchPlanner = new BatchPlanner(config, fleet, activeJobs, runtimeEstimator);
         Preemptor preemptor = new Preemptor(fleet, rules, tasks);
-        this.scheduler = new Scheduler(config, fleet, activeJobs, rules, tasks, jobs, batchPlanner, preemptor, timers);
+        GangHeadroom gangHeadroom = new GangHeadroom(fleet, batchPlanner);
+        this.scheduler = new Scheduler(
+                config, fleet, activeJobs, rules, tasks, jobs, batchPlanner, preemptor, gangHeadroom, timers);
         this.consolidator = new Consolidator(fleet, activeJobs, machines, tasks);
-        RentalPlan.Demand demand =
-                new RentalPlan.Demand(config, fleet, activeJobs, batchPlanner, runtimeEstimator, arrivalRate);
-        this.autoscaler = new Autoscaler(
-                config, demand, rules, machines, leadership, peers, cloud, timers, term.fencingToken(), this::ended);
+        this.autoscaler = newAutoscaler(
+                new RentalPlan.Demand(config, fleet, activeJobs, batchPlanner, runtimeEstimator, arrivalRate),
+                rules,
+                gangHeadroom,
+                peers,
+                cloud);
+    }
+
+    private Autoscaler newAutoscaler(
+            RentalPlan.Demand demand, PlacementRules rules, GangHeadroom gangHeadroom, Peers peers, CloudPort cloud) {
+        return new Autoscaler(
+                config,
+                demand,
+                rules,
+                gangHeadroom,
+                machines,
+                leadership,
+                peers,
+                cloud,
+                timers,
+                term.fencingToken(),
+                this::ended);
     }
 
     /** Begins the term: takes the machines and jobs on record over. */
--- a/src/main/java/org/granitepath/coordination/Fleet.java
+++ b/src/main/java/org/granitepath/coordination/Fleet.java
@@ -9,7 +9,9 @@
 
 /** The machines of one term of leadership and their types. Holds state only; life cycles are kept elsewhere. */
 final class Fleet {
-    private static final int DEPARTED_REMEMBERED = 4096;
+    /** Two whole fleets of 6,000 machines: many come and go while a late copy of a report is on its way. */
+    private static final int DEPARTED_REMEMBERED = 12_000;
+
     private static final double OVERDUE_REPORTS = 1.5;
     /** Share of all machines that must be unresponsive before the leader itself may be the one cut off. */
     private static final double CUT_OFF_SHARE = 0.6;
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/GangHeadroom.java
@@ -0,0 +1,77 @@
+package org.granitepath.coordination;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import org.granitepath.bookkeeping.JobSpec;
+
+/**
+ * Free room on full-price machines for the next gang, where gangs are expected to start sooner than a machine boots.
+ * In the zone with the most free room, batch work that may use spot machines leaves as much as the largest of the
+ * present gangs takes. It does so for a bounded time: then it takes what there is.
+ */
+final class GangHeadroom {
+    /** The users allow 90 s beside a machine with room. */
+    private static final long LONGEST_BESIDE_ROOM_MICROS = 75_000_000;
+
+    private final Fleet fleet;
+    private final BatchPlanner batchPlanner;
+    private String zone = "";
+    /** CPUs free in that zone beyond what is to be left; negative when there are fewer. */
+    private long spareCpu;
+
+    GangHeadroom(Fleet fleet, BatchPlanner batchPlanner) {
+        this.fleet = fleet;
+        this.batchPlanner = batchPlanner;
+    }
+
+    /** Looks at the fleet anew. */
+    void survey() {
+        Object2LongOpenHashMap<String> free = new Object2LongOpenHashMap<>();
+        for (Machine machine : fleet.machines()) {
+            if (!machine.spot && machine.takesTasks()) {
+                free.addTo(machine.zone, machine.cpuFree());
+            }
+        }
+        zone = "";
+        long most = -1;
+        for (var entry : free.object2LongEntrySet()) {
+            if (entry.getLongValue() > most) {
+                zone = entry.getKey();
+                most = entry.getLongValue();
+            }
+        }
+        spareCpu = most - batchPlanner.promptGangCpu();
+    }
+
+    private boolean isWanted(Machine machine) {
+        return batchPlanner.promptGangCpu() > 0 && !machine.spot && machine.zone.equals(zone);
+    }
+
+    /** Whether the job may have a task there, as far as gangs are concerned. */
+    boolean leavesRoom(Machine machine, ActiveJob job, long now) {
+        JobSpec spec = job.spec;
+        if (!isWanted(machine) || spec.service() || spec.gang() || !spec.spot()) {
+            return true;
+        }
+        return spareCpu >= spec.cpuMillis()
+                || now - Math.max(job.waitingSinceMicros, job.lastStartMicros) > LONGEST_BESIDE_ROOM_MICROS;
+    }
+
+    /** A task was placed there. */
+    void taken(Machine machine, JobSpec spec) {
+        if (isWanted(machine)) {
+            spareCpu -= spec.cpuMillis();
+        }
+    }
+
+    /** Whether this idle machine is to be kept: without it too little would be free. */
+    boolean keeps(Machine machine) {
+        return isWanted(machine) && spareCpu < machine.cpuFree();
+    }
+
+    /** A machine is returned. */
+    void returned(Machine machine) {
+        if (isWanted(machine)) {
+            spareCpu -= machine.cpuFree();
+        }
+    }
+}
--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -144,7 +144,7 @@
         if (!unsplittable.isEmpty()) {
             LOG.warn(
                     "{} values of the machine inventory hold more than one transaction can spread: they stay "
-                            + "as they are until machines are gone, and machines there that need a new token stay unused",
+                            + "as they are until machines are gone, and those that need a new token stay unused",
                     unsplittable.size());
         }
         if (!splits.isEmpty()) {
--- a/src/main/java/org/granitepath/coordination/RentalPlan.java
+++ b/src/main/java/org/granitepath/coordination/RentalPlan.java
@@ -18,7 +18,9 @@
     /** A service that starts this much later is worth half as much to its users. */
     private static final double LATE_START_MICROS = 120e6;
 
-    private static final int MOST_PLANNED = 2000;
+    /** Tasks of one job that are planned for at a time: as many as 6,000 machines with a task each. */
+    private static final int MOST_PLANNED = 6_000;
+
     /** More machines than a few rentals bring are not planned for: the plan is made anew after each. */
     private static final int MOST_MACHINES = 400;
 
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -60,6 +60,7 @@
     private final Preemptor preemptor;
     private final MachinePreference preference;
     private final GangScheduler gangScheduler;
+    private final GangHeadroom gangHeadroom;
     /** Machines that take tasks and have some room, in this pass. */
     private final List<Machine> roomy = new ArrayList<>();
 
@@ -72,6 +73,7 @@
             JobLifecycle jobs,
             BatchPlanner batchPlanner,
             Preemptor preemptor,
+            GangHeadroom gangHeadroom,
             Timers timers) {
         this.config = config;
         this.fleet = fleet;
@@ -85,6 +87,7 @@
         this.fairShare = new FairShare(config.tuning());
         this.preference = new MachinePreference(rules);
         this.gangScheduler = new GangScheduler(config, fleet, rules, tasks, preference);
+        this.gangHeadroom = gangHeadroom;
     }
 
     /** One pass, until nothing more fits. */
@@ -97,6 +100,7 @@
             return;
         }
         findRoom(queue, now);
+        gangHeadroom.survey();
         List<Needs> unplaceable = new ArrayList<>();
         while (!queue.isEmpty()) {
             ActiveJob job = queue.poll().job();
@@ -122,6 +126,7 @@
                 continue;
             }
             tasks.start(job, machine, now);
+            gangHeadroom.taken(machine, job.spec);
             jobs.claim(job);
             if (job.waiting() > 0 && job.hasClaimedTask()) {
                 job.deferrable = deferrable(job, now);
@@ -218,6 +223,7 @@
             if (machine.hasRoom(job.spec)
                     && machine.takesTasks()
                     && rules.mayHold(machine, job)
+                    && gangHeadroom.leavesRoom(machine, job, now)
                     && rules.suits(machine, job, now)) {
                 double score = preference.score(machine, job.spec);
                 if (score > bestScore) {
--- a/src/test/java/org/granitepath/cli/MainTest.java
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.granitepath.coordination.StateLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -109,4 +110,30 @@
                 Command.OK,
                 Main.execute("check-config", "--config", file("d.toml", GOOD).toString()));
     }
+
+    private static final String NEXT =
+            "txn_ops = 8\n[facts.state.next]\nwrite_rps = 7.5\nvalue_kb = 2.0\ntxn_ops = 5\n";
+
+    /** Limits that the state service will have later hold from the first start, since they come without notice. */
+    @Test
+    void nextLimitsAreKeptFromTheStart() throws Exception {
+        Settings next = Settings.read(file("n.toml", GOOD.replace("txn_ops = 8\n", NEXT)), null);
+        assertEquals(new StateLimits(7.5, 2048, 5), next.config().stateLimits());
+        Settings present = Settings.read(file("p.toml", GOOD), null);
+        assertEquals(new StateLimits(10, 8192, 8), present.config().stateLimits());
+        Settings some = Settings.read(
+                file("o.toml", GOOD.replace("txn_ops = 8\n", "txn_ops = 8\n[facts.state.next]\nvalue_kb = 4.0\n")),
+                null);
+        assertEquals(new StateLimits(10, 4096, 8), some.config().stateLimits());
+    }
+
+    @Test
+    void impossibleGangTimesAndNextLimitsAreNamed() throws IOException {
+        assertInvalid("facts.workers.gang_wait_s", "cancel_s = 30.0", "cancel_s = 30.0\ngang_wait_s = 0.0");
+        assertInvalid("facts.workers.gang_peer_s", "cancel_s = 30.0", "cancel_s = 30.0\ngang_peer_s = \"5\"");
+        assertInvalid("facts.state.next", "txn_ops = 8", "txn_ops = 8\nnext = 3");
+        assertInvalid("facts.state.next.txn_ops", "txn_ops = 8\n", NEXT.replace("txn_ops = 5", "txn_ops = -1"));
+        assertInvalid("facts.state.next.value_kb", "txn_ops = 8\n", NEXT.replace("value_kb = 2.0", "value_kb = 0"));
+        assertInvalid("facts.state.next.write_rps", "txn_ops = 8\n", NEXT.replace("7.5", "\"fast\""));
+    }
 }
--- a/src/test/java/org/granitepath/protocol/CodecTest.java
+++ b/src/test/java/org/granitepath/protocol/CodecTest.java
@@ -93,4 +93,33 @@
         assertNull(PeerCodec.decodeCancelled(PeerCodec.encode(new PeerPort.CancellationNotice("no job", 77))));
         assertNull(PeerCodec.decodeCancelled(new byte[] {1, 2, 3}));
     }
+
+    /** Words that a newer platform may use: the task counts as being on the machine, or as exited, and nothing fails. */
+    @Test
+    void statesOfGangsAndUnknownWordsAreRead() {
+        String body = "{\"host\":\"i-1\",\"address\":\"10.1.0.1:9000\",\"model\":\"g8\",\"site\":\"a\",\"shift\":1,"
+                + "\"tally\":2,\"baton\":3,\"pieces\":["
+                + "{\"piece\":\"run-1/0\",\"try\":7,\"status\":\"waiting\"},"
+                + "{\"piece\":\"run-1/1\",\"try\":7,\"status\":\"ended\",\"cause\":\"mates_gone\"},"
+                + "{\"piece\":\"run-1/2\",\"try\":7,\"status\":\"ended\",\"cause\":\"alone\"},"
+                + "{\"piece\":\"run-1/3\",\"try\":7,\"status\":\"dreaming\"},"
+                + "{\"piece\":\"run-1/4\",\"try\":7,\"status\":\"ended\",\"cause\":\"bored\"}]}";
+        List<Heartbeat.TaskReport> tasks = WorkerCodec.decodeHeartbeat(body).tasks();
+        assertEquals(
+                List.of(
+                        Heartbeat.TaskState.WAITING,
+                        Heartbeat.TaskState.EXITED,
+                        Heartbeat.TaskState.EXITED,
+                        Heartbeat.TaskState.FETCHING,
+                        Heartbeat.TaskState.EXITED),
+                tasks.stream().map(Heartbeat.TaskReport::state).toList());
+        assertEquals(
+                List.of(
+                        Heartbeat.Cause.NONE,
+                        Heartbeat.Cause.PEER_GONE,
+                        Heartbeat.Cause.INCOMPLETE,
+                        Heartbeat.Cause.NONE,
+                        Heartbeat.Cause.STOPPED),
+                tasks.stream().map(Heartbeat.TaskReport::cause).toList());
+    }
 }
--- a/src/test/java/org/granitepath/simulation/BudgetTest.java
+++ b/src/test/java/org/granitepath/simulation/BudgetTest.java
@@ -3,16 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.Range;
+import com.google.common.collect.RangeSet;
+import com.google.common.collect.TreeRangeSet;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.granitepath.bookkeeping.ProgressRecord;
 import org.granitepath.bookkeeping.RecordReplica;
+import org.granitepath.bookkeeping.RecordSize;
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StoredRecord;
 import org.granitepath.bookkeeping.Timers;
 import org.granitepath.bookkeeping.UnknownRecord;
 import org.granitepath.coordination.WriteQueue;
 import org.granitepath.coordination.WriteQueue.Urgency;
+import org.granitepath.protocol.Json;
 import org.junit.jupiter.api.Test;
 
 /** Hundreds of wishes, or of questions, on a small budget. */
@@ -135,4 +142,55 @@
         world.run(61_000_000, () -> {});
         assertTrue(leaders[0] > 60 * 7, leaders[0] + " writes of the leader in a minute");
     }
+
+    /** What the state service will never take is given up, once, and all else is written. */
+    @Test
+    void aRejectedWriteIsAbandonedAndHoldsNothingUp() {
+        RecordReplica replica = replica();
+        WriteQueue writeQueue = new WriteQueue(state.portFor("n"), replica, timers, 8, 20, false, List::of, () -> true);
+        List<String> written = new ArrayList<>();
+        int[] made = new int[1];
+        StoredRecord large = new UnknownRecord(Map.of("x", "y".repeat(3_000)));
+        for (int i = 0; i < 12; i++) {
+            String key = "g/n/" + i;
+            boolean tooLarge = i == 5;
+            writeQueue.enqueue(
+                    key,
+                    Urgency.WORK,
+                    0,
+                    () -> {
+                        made[0] += tooLarge ? 1 : 0;
+                        return List.of(Change.write(key, tooLarge ? large : SOME_RECORD));
+                    },
+                    epoch -> written.add(key));
+        }
+        world.run(20_000_000, () -> {});
+        assertEquals(11, written.size());
+        assertTrue(made[0] <= 8, "sent " + made[0] + " times");
+    }
+
+    /** A job of which finished and open tasks alternate: its progress still fits, with the longest ranges. */
+    @Test
+    void progressFitsItsValue() {
+        RangeSet<Integer> done = TreeRangeSet.create();
+        for (int task = 0; task < 2_000; task += 2) {
+            ProgressRecord.addTask(done, task);
+        }
+        done.add(Range.closedOpen(3_000, 3_500));
+        ProgressRecord whole = new ProgressRecord("n", 5_000, done, 12);
+        ProgressRecord kept = whole.atMost(2048);
+        assertTrue(Json.text(kept.toMap()).length() <= 2048);
+        assertTrue(kept.done().encloses(Range.closedOpen(3_000, 3_500)));
+        assertTrue(ProgressRecord.count(kept.done()) > 600, ProgressRecord.count(kept.done()) + " kept");
+        assertEquals(whole, whole.atMost(100_000));
+    }
+
+    /** Whatever a record holds, its size is not underrated. */
+    @Test
+    void sizesAreNotUnderrated() {
+        StoredRecord record = new UnknownRecord(
+                Map.of("a\"\\/", List.of(1, 2.5, true, "\u0001\u00e9\u4e2d"), "b", Map.of("c", List.of(), "d", -17L)));
+        int bytes = Json.text(record.toMap()).getBytes(StandardCharsets.UTF_8).length;
+        assertTrue(RecordSize.of(record) >= bytes, RecordSize.of(record) + " < " + bytes);
+    }
 }
--- a/src/test/java/org/granitepath/simulation/GangTest.java
+++ b/src/test/java/org/granitepath/simulation/GangTest.java
@@ -195,17 +195,18 @@
         assertEquals(0, tasksHeld(s, spec));
     }
 
-    /** Small work that never ends must not take for ever the room that a gang needs. */
+    /** Small work that never ends must not take for ever the room that a gang needs: a whole large machine. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aGangIsNotStarvedBySmallWork(long seed) {
-        Simulation s = new Simulation(seed, Simulation.Shape.SMALL.with(3, 2));
-        for (int i = 0; i < 60; i++) {
+        Simulation s = new Simulation(seed, Simulation.Shape.SMALL.with(3, 1));
+        for (int i = 0; i < 130; i++) {
             s.world.after(
-                    2L * i * SECOND,
-                    () -> s.submit(s.job(false, 8, Priority.STANDARD, "free", true, false, false, 12 * SECOND, 0), -1));
+                    SECOND * i,
+                    () -> s.submit(s.job(false, 8, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
         }
-        JobSpec spec = gang(s, 9, false, 10 * SECOND, 3 * SECOND);
+        JobSpec spec = s.withCpu(
+                s.job(false, SIZE, Priority.STANDARD, "free", false, false, true, 8 * SECOND, 0), SIZE, 4_000);
         s.world.after(20 * SECOND, () -> s.submit(spec, -1));
         s.run(110 * SECOND);
         assertRules(s);
