--- a/src/test/java/org/granitepath/protocol/CodecTest.java
+++ b/src/test/java/org/granitepath/protocol/CodecTest.java
@@ -94,7 +94,7 @@
         assertNull(PeerCodec.decodeCancelled(new byte[] {1, 2, 3}));
     }
 
-    /** Words that a newer platform may use: the task counts as being on the machine, or as exited, and nothing fails. */
+    /** Words that a newer platform may use: the task counts as on its machine, or as exited, and nothing fails. */
     @Test
     void statesOfGangsAndUnknownWordsAreRead() {
         String body = "{\"host\":\"i-1\",\"address\":\"10.1.0.1:9000\",\"model\":\"g8\",\"site\":\"a\",\"shift\":1,"
