--- a/src/test/java/org/granitepath/simulation/GangTest.java
+++ b/src/test/java/org/granitepath/simulation/GangTest.java
@@ -59,12 +59,15 @@
         }
     }
 
-    /** Small gangs fit one machine: a filler on each makes the gang take several. */
-    private static void fill(Simulation s) {
+    /** Small gangs fit one machine: a service that fills most of each makes the gang take several. */
+    private static JobSpec submitOnSeveralMachines(Simulation s, int tasks, long runMicros) {
         for (int i = 0; i < 8; i++) {
             s.submit(s.withCpu(s.job(true, 1, Priority.CRITICAL, "free", false, false, false, 0, 0), 1, 11_000), -1);
         }
         s.run(30 * SECOND);
+        JobSpec spec = gang(s, tasks, false, runMicros, 3 * SECOND);
+        s.submit(spec, -1);
+        return spec;
     }
 
     @ParameterizedTest
@@ -86,9 +89,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void aTaskLostBeforeTheStartIsReplacedInTheSameAttempt(long seed) {
         Simulation s = new Simulation(seed);
-        fill(s);
-        JobSpec spec = gang(s, SIZE, false, 10 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, SIZE, 10 * SECOND);
         runUntilHeld(s, spec);
         assertTrue(holders(s, spec).size() > 1, "all on one machine");
         SimWorker lost = holders(s, spec).get(0);
@@ -103,9 +104,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void aTaskLostWhileRunningEndsTheAttempt(long seed) {
         Simulation s = new Simulation(seed);
-        fill(s);
-        JobSpec spec = gang(s, 9, false, 10 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, 9, 10 * SECOND);
         runUntilRunning(s, spec);
         s.run(s.world.now() + 2 * SECOND);
         holders(s, spec).get(0).die();
@@ -119,9 +118,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void aMachineThatHangsHoldsItsTask(long seed) {
         Simulation s = new Simulation(seed);
-        fill(s);
-        JobSpec spec = gang(s, 9, false, 20 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, 9, 20 * SECOND);
         runUntilRunning(s, spec);
         holders(s, spec).get(0).hangFor(9 * SECOND);
         s.run(s.world.now() + 150 * SECOND);
@@ -149,9 +146,7 @@
     @ValueSource(longs = {0, 300, 800, 1_500, 2_200, 3_000, 5_000, 8_000, 12_000})
     void aTakeoverCarriesTheAttemptOn(long millis) {
         Simulation s = new Simulation(millis + 1);
-        fill(s);
-        JobSpec spec = gang(s, 9, false, 10 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, 9, 10 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + millis * 1_000);
         s.crash(s.leader(), 3 * SECOND);
@@ -166,9 +161,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void aTakeoverWithASilentMachine(long seed) {
         Simulation s = new Simulation(seed);
-        fill(s);
-        JobSpec spec = gang(s, 9, false, 10 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, 9, 10 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + seed * SECOND);
         s.cutMachine(holders(s, spec).get(0), seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 20 * SECOND);
@@ -182,9 +175,7 @@
     @ValueSource(longs = {0, 500, 1_500, 2_500, 4_000, 9_000})
     void aCancellationEndsAGangInAnyState(long millis) {
         Simulation s = new Simulation(millis + 7);
-        fill(s);
-        JobSpec spec = gang(s, 9, false, 30 * SECOND, 3 * SECOND);
-        s.submit(spec, -1);
+        JobSpec spec = submitOnSeveralMachines(s, 9, 30 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + millis * 1_000);
         s.cancel(spec.id());
