--- a/src/test/java/org/granitepath/simulation/SimGangs.java
+++ b/src/test/java/org/granitepath/simulation/SimGangs.java
@@ -27,11 +27,9 @@
     int started;
 
     int savedInOrder;
-    /** Attempts that ended because a task was alone for too long, or gone. */
+    /** Tasks that waited for the others in vain. */
     int incomplete;
 
-    int broken;
-
     SimGangs(World world, Rules rules, Set<TaskId> results) {
         this.world = world;
         this.rules = rules;
@@ -137,9 +135,7 @@
         }
 
         private void running() {
-            if (noticedAt != Long.MAX_VALUE
-                    || members.size() < spec.tasks()
-                    || members.values().stream().anyMatch(m -> m.hangs.getAsBoolean())) {
+            if (hasLostATask()) {
                 noticeLoss();
             } else if (progress() >= total(spec)) {
                 for (int i = 0; i < spec.tasks(); i++) {
@@ -150,6 +146,13 @@
             }
         }
 
+        /** Whether a task is gone or its machine hangs, or one was: what the others have noticed is final. */
+        private boolean hasLostATask() {
+            return noticedAt != Long.MAX_VALUE
+                    || members.size() < spec.tasks()
+                    || members.values().stream().anyMatch(m -> m.hangs.getAsBoolean());
+        }
+
         /** The save fails, or the others exit a while after one is gone; what was made since the checkpoint is lost. */
         private void noticeLoss() {
             if (noticedAt == Long.MAX_VALUE) {
@@ -159,7 +162,6 @@
                 }
                 frozenProgress = progress();
                 noticedAt = world.now() + world.random.nextInt((int) PEER);
-                broken++;
             }
             if (world.now() >= noticedAt) {
                 end(Cause.PEER_GONE, false);
@@ -167,12 +169,10 @@
         }
 
         private void stopping() {
-            boolean gone =
-                    members.size() < spec.tasks() || members.values().stream().anyMatch(m -> m.hangs.getAsBoolean());
             long saves = members.values().stream()
                     .filter(m -> m.saves() && world.now() - m.toldToSaveMicros >= spec.saveMicros())
                     .count();
-            if (gone || noticedAt != Long.MAX_VALUE) {
+            if (hasLostATask()) {
                 noticeLoss();
             } else if (saves == spec.tasks()) {
                 keep(progress());
