--- a/src/main/java/org/granitepath/bookkeeping/RecordReplica.java
+++ b/src/main/java/org/granitepath/bookkeeping/RecordReplica.java
@@ -102,7 +102,26 @@
         return record(Keys.FENCING_TOKEN, FencingTokenRecord.class);
     }
 
-    /** A part of the machine inventory, or null when it has fewer. */
+    /** How many parts the machine inventory has, those that can't be read included. */
+    public int inventoryParts() {
+        int parts = 0;
+        while (has(Keys.INVENTORY + parts)) {
+            parts++;
+        }
+        return parts;
+    }
+
+    /** The revision up to which the records are known. */
+    public long revision() {
+        return epoch;
+    }
+
+    /** How many records could not be read so far. */
+    public long malformedRecords() {
+        return malformedRecords;
+    }
+
+    /** A part of the machine inventory, or null when it has fewer or this one can't be read. */
     public InventoryRecord inventory(int part) {
         return record(Keys.INVENTORY + part, InventoryRecord.class);
     }
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -256,7 +256,8 @@
                 seconds(rest, "gang-hold-s", d.gangHoldMicros(), 0, 600),
                 (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000),
                 seconds(rest, "max-starvation-s", d.maxStarvationMicros(), 1, 86_400),
-                real(rest, "headroom-share", d.headroomShare(), 0, 10));
+                real(rest, "headroom-share", d.headroomShare(), 0, 10),
+                seconds(rest, "recovery-hold-s", d.recoveryHoldMicros(), 0, 60));
         if (!rest.isEmpty()) {
             String unknown = rest.keySet().iterator().next();
             String renamed = RENAMED.get(unknown);
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -70,6 +70,8 @@
      * @param claimBlock how many tasks of a job are claimed ahead, at least
      * @param maxStarvationMicros how long a job may be without any task before it no longer gives way to others
      * @param headroomShare most room kept for live services to come, as a share of what the present ones use
+     * @param recoveryHoldMicros how long, after a change of leader, other work is held for services and work of the
+     *     highest priority, at most; 0: not at all
      */
     public record Tuning(
             long leaderLeaseMicros,
@@ -83,13 +85,14 @@
             long gangHoldMicros,
             int claimBlock,
             long maxStarvationMicros,
-            double headroomShare) {
+            double headroomShare,
+            long recoveryHoldMicros) {
         private static final int BLOCKS_OF_A_WIDE_JOB = 6;
         private static final int WIDE_SERVICE = 32;
 
         /** What holds without a file of the operators. */
         public static Tuning defaults() {
-            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 0.5, 10_000_000, 6, 150_000_000, 0.08);
+            return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 0.5, 10_000_000, 6, 150_000_000, 0.08, 0);
         }
 
         /** Tasks claimed with the acceptance: of work that runs together, all. */
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -10,6 +10,8 @@
 import org.granitepath.bookkeeping.StatePort.Change;
 import org.granitepath.bookkeeping.StatePort.Guard;
 import org.granitepath.bookkeeping.Timers;
+import org.granitepath.recovery.RecoveryPlan;
+import org.granitepath.recovery.RecoveryTracer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,6 +37,7 @@
     private final Timers timers;
     private final WriteQueue writeQueue;
     private final Fleet fleet;
+    private final TermRecovery recovery;
     private final DispatchLoop loop;
     private final MachineInventory inventory;
     private final TaskLifecycle tasks;
@@ -82,12 +85,17 @@
                 false,
                 () -> List.of(new Guard(Keys.LEADER, term.leaderStamp())),
                 () -> !ended);
+        this.recovery = new TermRecovery(
+                new RecoveryPlan(term.fencingToken(), config.tuning().recoveryHoldMicros(), RecoveryTracer.NONE),
+                activeJobs,
+                timers,
+                loop);
         this.inventory = new MachineInventory(
                 config, term, replica, writeQueue, timers, fleet, this::tokenRaised, loop::requestPass);
-        this.tasks = new TaskLifecycle(term, fleet, activeJobs, teamLimits, timers, loop, commands);
+        this.tasks = new TaskLifecycle(term, recovery, activeJobs, teamLimits, timers, loop, commands);
         this.jobs = new JobLifecycle(
-                config, term, replica, jobIndex, writeQueue, fleet, activeJobs, tasks, arrivalRate, timers, loop);
-        this.machines = new MachineLifecycle(config, fleet, inventory, tasks, jobs, faults, commands, timers, loop);
+                config, term, replica, jobIndex, writeQueue, recovery, activeJobs, tasks, arrivalRate, timers, loop);
+        this.machines = new MachineLifecycle(config, fleet, inventory, tasks, recovery, faults, commands, timers, loop);
         this.reconciler = new ReportReconciler(
                 config,
                 jobIndex,
@@ -97,6 +105,7 @@
                 activeJobs,
                 jobs,
                 tasks,
+                recovery,
                 faults,
                 runtimeEstimator,
                 commands,
@@ -104,12 +113,12 @@
                 loop);
         this.sender = new CommandSender(
                 config, leadership, workers, fleet, inventory, reconciler, commands, timers, loop, this::ended);
-        PlacementRules rules = new PlacementRules(fleet, activeJobs, teamLimits, faults, runtimeEstimator);
+        PlacementRules rules = new PlacementRules(fleet, recovery, activeJobs, teamLimits, faults, runtimeEstimator);
         BatchPlanner batchPlanner = new BatchPlanner(config, fleet, activeJobs, runtimeEstimator);
         Preemptor preemptor = new Preemptor(fleet, rules, tasks);
         GangHeadroom gangHeadroom = new GangHeadroom(fleet, batchPlanner);
         this.scheduler = new Scheduler(
-                config, fleet, activeJobs, rules, tasks, jobs, batchPlanner, preemptor, gangHeadroom, timers);
+                config, fleet, activeJobs, recovery, rules, tasks, jobs, batchPlanner, preemptor, gangHeadroom, timers);
         this.consolidator = new Consolidator(fleet, activeJobs, machines, tasks);
         this.autoscaler = newAutoscaler(
                 new RentalPlan.Demand(config, fleet, activeJobs, batchPlanner, runtimeEstimator, arrivalRate),
@@ -137,7 +146,9 @@
 
     /** Begins the term: takes the machines and jobs on record over. */
     void start() {
-        fleet.inherit(inventory.takeOver());
+        List<Machine> inherited = inventory.takeOver();
+        fleet.inherit(inherited);
+        recovery.start(inherited, inventory.unreadableParts(), replica.revision());
         jobs.start();
         LOG.info(
                 "term with fencing token {}: {} machines taken over",
@@ -156,6 +167,7 @@
     void end() {
         ended = true;
         jobs.end();
+        recovery.plan().end();
     }
 
     boolean ended() {
@@ -259,7 +271,7 @@
             sender.showTokenIfUnconfirmed(machine, now);
             checkPlacements(machine, now);
         }
-        if (fleet.allConfirmed() && leadership.certain()) {
+        if (recovery.allHeard() && leadership.certain()) {
             consolidator.tick(now);
         }
         loop.requestPass();
--- a/src/main/java/org/granitepath/coordination/Fleet.java
+++ b/src/main/java/org/granitepath/coordination/Fleet.java
@@ -31,8 +31,6 @@
         }
     };
 
-    private int inheritedLeft;
-
     Fleet(Config config, Timers timers) {
         this.config = config;
         this.timers = timers;
@@ -73,7 +71,6 @@
             machine.unconfirmedMicros = startedMicros;
             machine.leaseOverMicros = leaseOver;
             machines.put(machine.id, machine);
-            inheritedLeft++;
         }
     }
 
@@ -110,21 +107,6 @@
         return heartbeat.session() <= departed.getOrDefault(heartbeat.host(), Long.MIN_VALUE);
     }
 
-    /** Whether every machine taken over has been heard under the present token or is proved gone. */
-    boolean allConfirmed() {
-        return inheritedLeft == 0;
-    }
-
-    /** The machine is heard under its token, or gone. True when it was the last one that was taken over. */
-    boolean confirm(Machine machine) {
-        if (!machine.inherited) {
-            return false;
-        }
-        machine.inherited = false;
-        inheritedLeft--;
-        return inheritedLeft == 0;
-    }
-
     boolean unresponsive(Machine machine, long now) {
         return machine.unresponsive(now, config.reportMicros());
     }
--- a/src/main/java/org/granitepath/coordination/JobIndex.java
+++ b/src/main/java/org/granitepath/coordination/JobIndex.java
@@ -2,12 +2,17 @@
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.granitepath.bookkeeping.FinalRecord;
 import org.granitepath.bookkeeping.JobRecord;
 import org.granitepath.bookkeeping.Keys;
 import org.granitepath.bookkeeping.ProgressRecord;
 import org.granitepath.bookkeeping.StoredRecord;
+import org.granitepath.bookkeeping.UnknownRecord;
+import org.granitepath.recovery.RecordedTask;
 
 /** All jobs as the state service has them; every controller keeps this and answers users from it. */
 public final class JobIndex {
@@ -26,6 +31,11 @@
     private final Map<String, JobRecord> open = new Object2ObjectLinkedOpenHashMap<>();
     private final Map<String, ProgressRecord> progress = new Object2ObjectLinkedOpenHashMap<>();
     private final Map<String, FinalRecord.Outcome> finals = new Object2ObjectLinkedOpenHashMap<>();
+    /** Jobs of which a record can't be read. What it says is not known, so no leader decides about them. */
+    private final Set<String> unreadable = new HashSet<>();
+    /** Those among them of which not even can be told whether they exist or are over. */
+    private final Set<String> untold = new HashSet<>();
+
     private Listener listener;
 
     /** Sets the one listener; null: none. */
@@ -53,6 +63,25 @@
         return progress.getOrDefault(id, ProgressRecord.none());
     }
 
+    /** Whether a record of the job can't be read. */
+    public boolean unreadable(String id) {
+        return unreadable.contains(id);
+    }
+
+    /** Whether users can't be told of the job, since its description or its end can't be read. */
+    boolean untold(String id) {
+        return untold.contains(id) && !finals.containsKey(id);
+    }
+
+    /** What the records say of a task of a job that no leader here has open. */
+    RecordedTask recorded(String id) {
+        FinalRecord.Outcome outcome = finals.get(id);
+        if (outcome != null) {
+            return outcome == FinalRecord.Outcome.DONE ? RecordedTask.JOB_DONE : RecordedTask.JOB_CANCELLED;
+        }
+        return unreadable(id) || open.containsKey(id) ? RecordedTask.UNREADABLE : RecordedTask.UNKNOWN_JOB;
+    }
+
     /** Takes a changed record in. Removals don't occur among jobs. */
     void changed(String key, StoredRecord record) {
         if (record instanceof JobRecord job) {
@@ -61,6 +90,20 @@
             progressChanged(key.substring(Keys.PROGRESS.length()), jobProgress);
         } else if (record instanceof FinalRecord end) {
             ended(key.substring(Keys.FINAL.length()), end.outcome());
+        } else if (record instanceof UnknownRecord) {
+            cannotRead(key);
+        }
+    }
+
+    private void cannotRead(String key) {
+        for (String prefix : List.of(Keys.JOB, Keys.PROGRESS, Keys.FINAL)) {
+            if (key.startsWith(prefix)) {
+                String id = key.substring(prefix.length());
+                unreadable.add(id);
+                if (!prefix.equals(Keys.PROGRESS)) {
+                    untold.add(id);
+                }
+            }
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/JobLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/JobLifecycle.java
@@ -21,7 +21,7 @@
     private final RecordReplica replica;
     private final JobIndex jobIndex;
     private final WriteQueue writeQueue;
-    private final Fleet fleet;
+    private final TermRecovery recovery;
     private final ActiveJobs jobs;
     private final TaskLifecycle tasks;
     private final ArrivalRate arrivalRate;
@@ -34,7 +34,7 @@
             RecordReplica replica,
             JobIndex jobIndex,
             WriteQueue writeQueue,
-            Fleet fleet,
+            TermRecovery recovery,
             ActiveJobs jobs,
             TaskLifecycle tasks,
             ArrivalRate arrivalRate,
@@ -45,7 +45,7 @@
         this.replica = replica;
         this.jobIndex = jobIndex;
         this.writeQueue = writeQueue;
-        this.fleet = fleet;
+        this.recovery = recovery;
         this.jobs = jobs;
         this.tasks = tasks;
         this.arrivalRate = arrivalRate;
@@ -59,33 +59,31 @@
             open(record);
         }
         jobIndex.listen(this);
-        if (fleet.allConfirmed()) {
-            resolveUnconfirmedTasks();
-        }
+        loop.requestPass();
     }
 
     void end() {
         jobIndex.listen(null);
     }
 
-    /** No machine is left that could hold a task that we don't know of. */
-    void resolveUnconfirmedTasks() {
-        for (ActiveJob job : jobs.all()) {
-            job.resolveUnconfirmed();
-        }
-        loop.requestPass();
-    }
-
     private void open(JobRecord record) {
         if (record.term() > term.fencingToken()) {
             // Claimed for a successor of ours that we have not heard of yet.
             return;
         }
+        if (jobIndex.unreadable(record.spec().id())) {
+            LOG.error(
+                    "job {}: a record of it can't be read; its tasks are left alone and none starts in this term",
+                    record.spec().id());
+            return;
+        }
         ActiveJob job = new ActiveJob(record, jobIndex.progressOf(record.spec().id()), timers.nowMicros());
         jobs.add(job);
-        // What was claimed for us from the first can't have been started by a predecessor.
-        if (fleet.allConfirmed() || record.term() == term.fencingToken()) {
+        if (record.term() == term.fencingToken()) {
+            // What was claimed for us from the first can't have been started by a predecessor.
             job.resolveUnconfirmed();
+        } else {
+            recovery.resolveTasks(job);
         }
         endIfDone(job);
     }
--- a/src/main/java/org/granitepath/coordination/JobRequestHandler.java
+++ b/src/main/java/org/granitepath/coordination/JobRequestHandler.java
@@ -37,6 +37,7 @@
     private static final double WRITE_SHARE = 0.5;
 
     private static final int RETRY_SECONDS = 2;
+    private static final String UNREADABLE = "a record of the job can't be read";
 
     /** Whoever waits for one outcome; all get the same answer. */
     private static final class PendingAnswers {
@@ -96,6 +97,10 @@
             then.accept(retryLater(replica.loaded() ? "too many requests wait" : "starting"));
             return;
         }
+        if (jobIndex.untold(spec.id())) {
+            then.accept(retryLater(UNREADABLE));
+            return;
+        }
         if (jobIndex.openJob(spec.id()) != null) {
             poll(spec.id(), then);
             return;
@@ -179,7 +184,13 @@
             then.accept(status(id, false));
             return;
         }
-        afterBarrier(then, () -> then.accept(known(id) ? status(id, false) : new JobResponse.NotFound()));
+        afterBarrier(then, () -> {
+            if (jobIndex.untold(id)) {
+                then.accept(retryLater(UNREADABLE));
+            } else {
+                then.accept(known(id) ? status(id, false) : new JobResponse.NotFound());
+            }
+        });
     }
 
     // ---- cancellations -----------------------------------------------------------------------------------------
@@ -194,7 +205,9 @@
             return;
         }
         afterBarrier(then, () -> {
-            if (!known(id)) {
+            if (jobIndex.untold(id)) {
+                then.accept(retryLater(UNREADABLE));
+            } else if (!known(id)) {
                 then.accept(new JobResponse.NotFound());
             } else if (jobIndex.finalOf(id) != null) {
                 then.accept(status(id, false));
--- a/src/main/java/org/granitepath/coordination/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/MachineInventory.java
@@ -67,6 +67,8 @@
     /** How many values are on record, without a gap. */
     private int valuesOnRecord;
 
+    private int unreadableParts;
+
     private boolean splitting;
     private final Set<Integer> dirty = new HashSet<>();
     // What the transaction under way holds.
@@ -105,8 +107,12 @@
     /** The machines on record when the term began; all are ours under the term's fencing token. */
     List<Machine> takeOver() {
         List<Machine> inherited = new ArrayList<>();
-        int part = 0;
-        for (InventoryRecord hosts = replica.inventory(part); hosts != null; hosts = replica.inventory(++part)) {
+        for (int part = 0; part < replica.inventoryParts(); part++) {
+            InventoryRecord hosts = replica.inventory(part);
+            if (hosts == null) {
+                leaveUnreadable(part);
+                continue;
+            }
             Set<String> names = new LinkedHashSet<>();
             for (InventoryRecord.Host host : hosts.hosts()) {
                 Machine machine = new Machine(host.id(), host.address(), host.type(), host.zone(), host.spot());
@@ -128,6 +134,21 @@
         return inherited;
     }
 
+    /** Nothing is written where a value can't be read: it counts as full, and without machines. */
+    private void leaveUnreadable(int part) {
+        LOG.error(
+                "record {} can't be read: its machines are not known, and no task is taken for lost in this term",
+                Keys.INVENTORY + part);
+        values.add(new LinkedHashSet<>());
+        usedBytes.add(valueBytes);
+        unreadableParts++;
+    }
+
+    /** How many values of the inventory can't be read. */
+    int unreadableParts() {
+        return unreadableParts;
+    }
+
     /** A controller that knew of larger limits may have left values that may no longer be written. */
     private void splitLargeValues(List<Machine> inherited) {
         int onRecord = values.size();
--- a/src/main/java/org/granitepath/coordination/MachineLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/MachineLifecycle.java
@@ -13,7 +13,7 @@
     private final Fleet fleet;
     private final MachineInventory inventory;
     private final TaskLifecycle tasks;
-    private final JobLifecycle jobs;
+    private final TermRecovery recovery;
     private final FaultTracker faults;
     private final CommandQueue commands;
     private final Timers timers;
@@ -24,7 +24,7 @@
             Fleet fleet,
             MachineInventory inventory,
             TaskLifecycle tasks,
-            JobLifecycle jobs,
+            TermRecovery recovery,
             FaultTracker faults,
             CommandQueue commands,
             Timers timers,
@@ -33,7 +33,7 @@
         this.fleet = fleet;
         this.inventory = inventory;
         this.tasks = tasks;
-        this.jobs = jobs;
+        this.recovery = recovery;
         this.faults = faults;
         this.commands = commands;
         this.timers = timers;
@@ -52,14 +52,6 @@
         inventory.add(machine);
     }
 
-    /** The machine is heard under its present token, or gone: what a former leader left there is known. */
-    void confirm(Machine machine) {
-        if (fleet.confirm(machine)) {
-            LOG.info("every machine taken over is heard or proved gone: no task is unconfirmed any more");
-            jobs.resolveUnconfirmedTasks();
-        }
-    }
-
     /** Takes no new tasks from now on. */
     void drain(Machine machine, String why) {
         if (machine.phase == Machine.Phase.READY) {
@@ -113,7 +105,7 @@
             machine.unconfirmedMicros = timers.nowMicros();
         }
         inventory.requestToken(machine, "its lease is over");
-        confirm(machine);
+        recovery.resolved(machine, "its lease is over");
         loop.requestPass();
     }
 
@@ -137,7 +129,7 @@
         faults.forget(machine);
         commands.remove(machine);
         inventory.remove(machine);
-        confirm(machine);
+        recovery.resolved(machine, why);
         loop.requestPass();
     }
 }
--- a/src/main/java/org/granitepath/coordination/PlacementRules.java
+++ b/src/main/java/org/granitepath/coordination/PlacementRules.java
@@ -5,6 +5,7 @@
 /** Which machines a job may use, and whether its team may use more. */
 final class PlacementRules {
     private final Fleet fleet;
+    private final TermRecovery recovery;
     private final ActiveJobs jobs;
     private final TeamLimits teamLimits;
     private final FaultTracker faults;
@@ -12,11 +13,13 @@
 
     PlacementRules(
             Fleet fleet,
+            TermRecovery recovery,
             ActiveJobs jobs,
             TeamLimits teamLimits,
             FaultTracker faults,
             RuntimeEstimator runtimeEstimator) {
         this.fleet = fleet;
+        this.recovery = recovery;
         this.jobs = jobs;
         this.teamLimits = teamLimits;
         this.faults = faults;
@@ -73,7 +76,7 @@
     /** The same for several tasks together. */
     boolean teamAllows(JobSpec spec, int count) {
         return teamLimits.allows(spec, count)
-                && (!teamLimits.limits(spec) || (fleet.allConfirmed() && fleet.noOrphanedTasks()));
+                && (!teamLimits.limits(spec) || (recovery.allHeard() && fleet.noOrphanedTasks()));
     }
 
     /** CPUs that a team's tasks use beyond its guarantee, without those that are being stopped. */
--- a/src/main/java/org/granitepath/coordination/ReportReconciler.java
+++ b/src/main/java/org/granitepath/coordination/ReportReconciler.java
@@ -7,6 +7,8 @@
 import org.granitepath.coordination.Heartbeat.Cause;
 import org.granitepath.coordination.Heartbeat.TaskReport;
 import org.granitepath.coordination.Heartbeat.TaskState;
+import org.granitepath.recovery.RecoveryPlan;
+import org.granitepath.recovery.Verdict;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,6 +31,9 @@
     private final ActiveJobs activeJobs;
     private final JobLifecycle jobs;
     private final TaskLifecycle tasks;
+    private final TermRecovery recovery;
+    private final RecoveryPlan plan;
+    private final TaskEvidence evidence;
     private final FaultTracker faults;
     private final RuntimeEstimator runtimeEstimator;
     private final CommandQueue commands;
@@ -44,6 +49,7 @@
             ActiveJobs activeJobs,
             JobLifecycle jobs,
             TaskLifecycle tasks,
+            TermRecovery recovery,
             FaultTracker faults,
             RuntimeEstimator runtimeEstimator,
             CommandQueue commands,
@@ -57,6 +63,9 @@
         this.activeJobs = activeJobs;
         this.jobs = jobs;
         this.tasks = tasks;
+        this.recovery = recovery;
+        this.plan = recovery.plan();
+        this.evidence = new TaskEvidence(jobIndex, activeJobs, plan);
         this.faults = faults;
         this.runtimeEstimator = runtimeEstimator;
         this.commands = commands;
@@ -93,7 +102,7 @@
             loop.notePass();
         }
         if (current) {
-            machines.confirm(machine);
+            recovery.resolved(machine, "heard under fencing token " + machine.fencingToken);
         }
         if (heartbeat.noticeMicros() >= 0 && machine.phase == Machine.Phase.READY) {
             machines.drain(machine, "the cloud takes it in " + heartbeat.noticeMicros() / 1_000_000 + " s");
@@ -121,26 +130,57 @@
     }
 
     private Set<TaskId> reconcileListed(Machine machine, Heartbeat heartbeat, boolean current, long now) {
+        Set<WorkerCommand> repeated = Set.copyOf(machine.cleanupCommands);
         machine.cleanupCommands.clear();
         Set<TaskId> listed = new HashSet<>();
         for (TaskReport report : heartbeat.tasks()) {
-            Placement placement = machine.placements.get(report.task());
-            if (placement != null && placement.attempt == report.attempt()) {
-                listed.add(report.task());
-                placement.seen = true;
-                placement.certain |= current;
-                placement.unansweredToken = 0;
-                update(machine, placement, report, now);
-            } else if (handleUnknownTask(machine, report, current, now)) {
+            Verdict verdict = evidence.ofReported(machine, report);
+            switch (verdict) {
+                case CONFIRMED -> confirmed(machine, report, current, now);
+                case ADOPTED -> adopted(machine, report, current, now);
+                case FINISHED_MEANWHILE -> finishedMeanwhile(report.task());
+                case STALE, UNKNOWN_JOB -> stopOrphan(machine, report, verdict, repeated);
+                case EXITED, LOST, IN_DOUBT -> {}
+            }
+            if (verdict == Verdict.CONFIRMED || verdict == Verdict.ADOPTED) {
                 listed.add(report.task());
             }
-            if (report.state() == TaskState.EXITED && mayClear(machine, report)) {
+            if (report.state() == TaskState.EXITED && verdict != Verdict.IN_DOUBT && mayClear(machine, report)) {
                 machine.cleanupCommands.add(WorkerCommand.clear(report.task(), report.attempt()));
             }
         }
         return listed;
     }
 
+    private void confirmed(Machine machine, TaskReport report, boolean current, long now) {
+        Placement placement = machine.placements.get(report.task());
+        if (!placement.seen) {
+            plan.found(Verdict.CONFIRMED, 1);
+        }
+        placement.seen = true;
+        placement.certain |= current;
+        placement.unansweredToken = 0;
+        update(machine, placement, report, now);
+    }
+
+    private void adopted(Machine machine, TaskReport report, boolean current, long now) {
+        ActiveJob job = activeJobs.get(report.task().job());
+        Placement placement = tasks.adopt(job, machine, report, current, now);
+        plan.found(Verdict.ADOPTED, 1);
+        update(machine, placement, report, now);
+    }
+
+    private void stopOrphan(Machine machine, TaskReport report, Verdict verdict, Set<WorkerCommand> repeated) {
+        WorkerCommand stop = WorkerCommand.stop(report.task(), report.attempt(), 0);
+        machine.cleanupCommands.add(stop);
+        commands.due(machine);
+        loop.notePass();
+        if (!repeated.contains(stop)) {
+            plan.found(verdict, 1);
+            LOG.info("stopping {} attempt {} on {}: {}", report.task(), report.attempt(), machine.id, verdict);
+        }
+    }
+
     /** Exited attempts that the report lists and that may not be cleared yet. */
     private static int unclearedAttempts(Machine machine, Heartbeat heartbeat) {
         int uncleared = 0;
@@ -156,12 +196,14 @@
     private void freeAbsent(
             Machine machine, Heartbeat heartbeat, Set<TaskId> listed, boolean current, boolean isReport) {
         for (Placement placement : List.copyOf(machine.placements.values())) {
-            if (listed.contains(placement.task) || !provedAbsent(placement, heartbeat, current, isReport)) {
+            if (listed.contains(placement.task)
+                    || evidence.ofMissing(placement, heartbeat, current, isReport) != Verdict.LOST) {
                 continue;
             }
             if (!placement.seen && placement.sentInAnswer && placement.session == heartbeat.session()) {
                 inventory.requestToken(machine, "an answer to it was lost");
             }
+            plan.found(Verdict.LOST, 1);
             tasks.free(
                     placement,
                     "not in report " + heartbeat.session() + "." + heartbeat.sequence() + " under fencing token "
@@ -169,19 +211,6 @@
         }
     }
 
-    private static boolean provedAbsent(Placement placement, Heartbeat heartbeat, boolean current, boolean isReport) {
-        if (placement.session < heartbeat.session()) {
-            return true;
-        }
-        if (!current || placement.phase == Placement.Phase.ASSIGNED) {
-            return false;
-        }
-        if (placement.unansweredToken != 0 && placement.unansweredToken >= heartbeat.fencingToken()) {
-            return false;
-        }
-        return placement.seen || isReport || !placement.sentInAnswer;
-    }
-
     private void update(Machine machine, Placement placement, TaskReport report, long now) {
         switch (report.state()) {
             case FETCHING -> {
@@ -271,45 +300,10 @@
         }
     }
 
-    /** A task on the machine that we did not place in this term; true when it is now a placement of ours. */
-    private boolean handleUnknownTask(Machine machine, TaskReport report, boolean current, long now) {
-        TaskId task = report.task();
-        ActiveJob job = activeJobs.get(task.job());
-        boolean open = job != null && job.phase == ActiveJob.Phase.OPEN && task.index() < job.spec.tasks();
-        if (report.state() == TaskState.EXITED) {
-            if (open && report.cause() == Cause.DONE) {
-                doneElsewhere(job, task);
-            }
-            return false;
-        }
-        if (open && isMissing(job, task) && !machine.placements.containsKey(task)) {
-            Placement placement = tasks.adopt(job, machine, report, current, now);
-            update(machine, placement, report, now);
-            return true;
-        }
-        LOG.info(
-                "stopping {} attempt {} on {}: job is {}",
-                task,
-                report.attempt(),
-                machine.id,
-                job == null ? "not open" : "open");
-        machine.cleanupCommands.add(WorkerCommand.stop(task, report.attempt(), 0));
-        commands.due(machine);
-        loop.notePass();
-        return false;
-    }
-
-    private static boolean isMissing(ActiveJob job, TaskId task) {
-        return !job.done.contains(task.index())
-                && !job.placements.containsKey(task.index())
-                && task.index() < job.claimed;
-    }
-
     /** An attempt that we did not start has completed the task: any other attempt is of no use. */
-    private void doneElsewhere(ActiveJob job, TaskId task) {
-        if (job.spec.service() || job.done.contains(task.index())) {
-            return;
-        }
+    private void finishedMeanwhile(TaskId task) {
+        ActiveJob job = activeJobs.get(task.job());
+        plan.found(Verdict.FINISHED_MEANWHILE, 1);
         Placement other = job.placements.get(task.index());
         markDone(job, task.index());
         jobs.recordTaskDone(job);
--- a/src/main/java/org/granitepath/coordination/Scheduler.java
+++ b/src/main/java/org/granitepath/coordination/Scheduler.java
@@ -9,6 +9,7 @@
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Priority;
 import org.granitepath.bookkeeping.Timers;
+import org.granitepath.recovery.FirstWork;
 
 /** The order of jobs and the choice of machines: again and again one task to the job with the lowest share. */
 final class Scheduler {
@@ -51,6 +52,7 @@
     private final Config config;
     private final Fleet fleet;
     private final ActiveJobs activeJobs;
+    private final TermRecovery recovery;
     private final PlacementRules rules;
     private final TaskLifecycle tasks;
     private final JobLifecycle jobs;
@@ -68,6 +70,7 @@
             Config config,
             Fleet fleet,
             ActiveJobs activeJobs,
+            TermRecovery recovery,
             PlacementRules rules,
             TaskLifecycle tasks,
             JobLifecycle jobs,
@@ -78,6 +81,7 @@
         this.config = config;
         this.fleet = fleet;
         this.activeJobs = activeJobs;
+        this.recovery = recovery;
         this.rules = rules;
         this.tasks = tasks;
         this.jobs = jobs;
@@ -93,12 +97,19 @@
     /** One pass, until nothing more fits. */
     void pass() {
         long now = timers.nowMicros();
+        recovery.passBegins(now);
+        recovery.passEnded(decide(now));
+    }
+
+    /** Returns for how many tasks that resume first there is no room yet, while others are stopped for them. */
+    private int decide(long now) {
         batchPlanner.update(now);
         gangScheduler.releaseReservations(now);
         PriorityQueue<Candidate> queue = candidates(now);
         if (queue.isEmpty()) {
-            return;
+            return 0;
         }
+        int roomComing = 0;
         findRoom(queue, now);
         gangHeadroom.survey();
         List<Needs> unplaceable = new ArrayList<>();
@@ -115,7 +126,8 @@
             Machine machine = pick(job, now);
             if (machine == null) {
                 unplaceable.add(needs);
-                preemptor.makeRoom(job, job.waiting() + waitingAlike(queue, needs), false, now);
+                int coming = preemptor.makeRoom(job, job.waiting() + waitingAlike(queue, needs), false, now);
+                roomComing += FirstWork.includes(job.spec) ? coming : 0;
                 continue;
             }
             // A short wait gets a live replica onto a machine that already has its image.
@@ -123,6 +135,7 @@
                     && !machine.hasImage(job.spec.image())
                     && now - job.waitingSinceMicros < IMAGE_WAIT_MICROS
                     && preemptor.makeRoom(job, 1, true, now) > 0) {
+                roomComing++;
                 continue;
             }
             tasks.start(job, machine, now);
@@ -133,6 +146,7 @@
                 queue.add(candidate(job));
             }
         }
+        return roomComing;
     }
 
     private PriorityQueue<Candidate> candidates(long now) {
@@ -149,7 +163,7 @@
             if (job.waitingSinceMicros < 0) {
                 job.waitingSinceMicros = now;
             }
-            if (job.hasClaimedTask()) {
+            if (job.hasClaimedTask() && recovery.mayStart(job)) {
                 job.deferrable = deferrable(job, now);
                 queue.add(candidate(job));
             }
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/TaskEvidence.java
@@ -0,0 +1,81 @@
+package org.granitepath.coordination;
+
+import org.granitepath.coordination.Heartbeat.Cause;
+import org.granitepath.coordination.Heartbeat.TaskReport;
+import org.granitepath.coordination.Heartbeat.TaskState;
+import org.granitepath.recovery.KnownPlacement;
+import org.granitepath.recovery.RecordedTask;
+import org.granitepath.recovery.RecoveryPlan;
+import org.granitepath.recovery.ReportedTask;
+import org.granitepath.recovery.StartEvidence;
+import org.granitepath.recovery.Verdict;
+import org.granitepath.recovery.VerdictTable;
+
+/** Gathers what records, placements and reports say of a task, and asks the verdict table. */
+final class TaskEvidence {
+    private final JobIndex jobIndex;
+    private final ActiveJobs activeJobs;
+    private final RecoveryPlan plan;
+
+    TaskEvidence(JobIndex jobIndex, ActiveJobs activeJobs, RecoveryPlan plan) {
+        this.jobIndex = jobIndex;
+        this.activeJobs = activeJobs;
+        this.plan = plan;
+    }
+
+    /** The verdict on an attempt that the machine's report lists. */
+    Verdict ofReported(Machine machine, TaskReport report) {
+        plan.compared(1);
+        ActiveJob job = activeJobs.get(report.task().job());
+        return VerdictTable.ofReported(
+                recorded(job, report.task()), placement(job, machine, report), reported(job, report));
+    }
+
+    /** The verdict on a placement that the machine's report does not list. */
+    Verdict ofMissing(Placement placement, Heartbeat heartbeat, boolean current, boolean isReport) {
+        plan.compared(1);
+        return VerdictTable.ofMissing(new StartEvidence(
+                placement.session < heartbeat.session(),
+                current,
+                placement.phase != Placement.Phase.ASSIGNED,
+                placement.unansweredToken != 0 && placement.unansweredToken >= heartbeat.fencingToken(),
+                placement.seen,
+                placement.sentInAnswer,
+                isReport));
+    }
+
+    private RecordedTask recorded(ActiveJob job, TaskId task) {
+        if (job == null || job.phase == ActiveJob.Phase.OVER) {
+            return jobIndex.recorded(task.job());
+        }
+        if (task.index() >= job.spec.tasks()) {
+            return RecordedTask.NOT_IN_JOB;
+        }
+        if (job.phase == ActiveJob.Phase.ENDING) {
+            return RecordedTask.JOB_DONE;
+        }
+        if (job.done.contains(task.index())) {
+            return RecordedTask.TASK_DONE;
+        }
+        return task.index() < job.claimed ? RecordedTask.CLAIMED : RecordedTask.UNCLAIMED;
+    }
+
+    private static KnownPlacement placement(ActiveJob job, Machine machine, TaskReport report) {
+        Placement here = machine.placements.get(report.task());
+        if (here != null) {
+            return here.attempt == report.attempt() ? KnownPlacement.THIS_ATTEMPT : KnownPlacement.OTHER_ATTEMPT_HERE;
+        }
+        return job != null && job.placements.containsKey(report.task().index())
+                ? KnownPlacement.OTHER_MACHINE
+                : KnownPlacement.NONE;
+    }
+
+    /** A service's task never completes its job, however it exits. */
+    private static ReportedTask reported(ActiveJob job, TaskReport report) {
+        if (report.state() != TaskState.EXITED) {
+            return ReportedTask.LIVE;
+        }
+        boolean completes = report.cause() == Cause.DONE && (job == null || !job.spec.service());
+        return completes ? ReportedTask.COMPLETED : ReportedTask.EXITED;
+    }
+}
--- a/src/main/java/org/granitepath/coordination/TaskLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/TaskLifecycle.java
@@ -11,7 +11,7 @@
     private static final long ATTEMPTS_PER_TERM = 1L << 24;
 
     private final Leadership.Term term;
-    private final Fleet fleet;
+    private final TermRecovery recovery;
     private final ActiveJobs jobs;
     private final TeamLimits teamLimits;
     private final Timers timers;
@@ -21,14 +21,14 @@
 
     TaskLifecycle(
             Leadership.Term term,
-            Fleet fleet,
+            TermRecovery recovery,
             ActiveJobs jobs,
             TeamLimits teamLimits,
             Timers timers,
             DispatchLoop loop,
             CommandQueue commands) {
         this.term = term;
-        this.fleet = fleet;
+        this.recovery = recovery;
         this.jobs = jobs;
         this.teamLimits = teamLimits;
         this.timers = timers;
@@ -162,7 +162,7 @@
         placement.machine.remove(placement, timers.nowMicros());
         teamLimits.freed(placement.job.spec);
         // Taken over from a report that may be old: that it is not here proves nothing about machines not yet heard.
-        boolean maybeElsewhere = !placement.certain && !fleet.allConfirmed();
+        boolean maybeElsewhere = !placement.certain && recovery.mayBeUnheard(placement.job);
         placement.job.unplace(placement, maybeElsewhere);
         if (placement.job.gangAttempt != null && !maybeElsewhere) {
             leftGang(placement);
--- /dev/null
+++ b/src/main/java/org/granitepath/coordination/TermRecovery.java
@@ -0,0 +1,105 @@
+package org.granitepath.coordination;
+
+import java.util.List;
+import org.granitepath.bookkeeping.Timers;
+import org.granitepath.recovery.FirstWork;
+import org.granitepath.recovery.MachineProfile;
+import org.granitepath.recovery.RecoveryPlan;
+import org.granitepath.recovery.Verdict;
+
+/** Carries the recovery plan of one term out on the fleet and the jobs. */
+final class TermRecovery {
+    private final RecoveryPlan plan;
+    private final ActiveJobs jobs;
+    private final Timers timers;
+    private final DispatchLoop loop;
+
+    TermRecovery(RecoveryPlan plan, ActiveJobs jobs, Timers timers, DispatchLoop loop) {
+        this.plan = plan;
+        this.jobs = jobs;
+        this.timers = timers;
+        this.loop = loop;
+    }
+
+    RecoveryPlan plan() {
+        return plan;
+    }
+
+    /** Begins with the machines and the records as of this revision. */
+    void start(List<Machine> inherited, int unreadableParts, long revision) {
+        inherited.forEach(machine -> plan.takeOver(machine.id, profile(machine)));
+        plan.takeOverUnreadable(unreadableParts);
+        plan.recordsRead(revision, timers.nowMicros());
+    }
+
+    private static MachineProfile profile(Machine machine) {
+        return new MachineProfile(machine.typeName, machine.zone, machine.spot);
+    }
+
+    /** Whether every machine taken over is heard under the present token or proved gone. */
+    boolean allHeard() {
+        return plan.allHeard();
+    }
+
+    /** Whether a task of this job may be on a machine that is still to be heard. */
+    boolean mayBeUnheard(ActiveJob job) {
+        return plan.ofUnreported(job.spec) == Verdict.IN_DOUBT;
+    }
+
+    /** The machine is heard under its present token, or gone: what a former leader left there is known. */
+    void resolved(Machine machine, String proof) {
+        if (!machine.inherited) {
+            return;
+        }
+        machine.inherited = false;
+        if (plan.resolved(machine.id, profile(machine), proof)) {
+            jobs.all().forEach(this::resolveTasks);
+            loop.requestPass();
+        }
+    }
+
+    /** Frees the tasks of a job that no report has listed, if no machine is left that may hold them. */
+    void resolveTasks(ActiveJob job) {
+        if (!job.unconfirmed.isEmpty() && !mayBeUnheard(job)) {
+            plan.found(Verdict.LOST, job.unconfirmed.size());
+            job.resolveUnconfirmed();
+        }
+    }
+
+    /** Whether tasks of the job may start, as far as the recovery is concerned. */
+    boolean mayStart(ActiveJob job) {
+        return plan.mayStart(job.spec);
+    }
+
+    void passBegins(long now) {
+        plan.checkBound(now);
+    }
+
+    /** @param roomComing how many tasks that go first have no room yet, while others are being stopped for them */
+    void passEnded(int roomComing) {
+        if (!plan.holdsBatchWork()) {
+            return;
+        }
+        plan.passEnded(firstWork(roomComing));
+        if (!plan.holdsBatchWork()) {
+            loop.requestPass();
+        }
+    }
+
+    private FirstWork firstWork(int roomComing) {
+        int inDoubt = 0;
+        int claiming = 0;
+        int unacknowledged = 0;
+        for (ActiveJob job : jobs.all()) {
+            if (job.phase != ActiveJob.Phase.OPEN || !FirstWork.includes(job.spec)) {
+                continue;
+            }
+            inDoubt += job.unconfirmed.size();
+            claiming += job.waiting() > 0 && !job.hasClaimedTask() ? 1 : 0;
+            for (Placement placement : job.placements.values()) {
+                unacknowledged += placement.seen ? 0 : 1;
+            }
+        }
+        return new FirstWork(inDoubt, claiming, unacknowledged, roomComing);
+    }
+}
--- a/src/main/java/org/granitepath/coordination/ZoneLeaseKeeper.java
+++ b/src/main/java/org/granitepath/coordination/ZoneLeaseKeeper.java
@@ -67,10 +67,10 @@
         fencingTokens.clear();
         FencingTokenRecord counter = replica.fencingToken();
         long term = counter == null ? 0 : counter.term();
-        int part = 0;
-        for (InventoryRecord hosts = replica.inventory(part); hosts != null; hosts = replica.inventory(++part)) {
-            for (InventoryRecord.Host host : hosts.hosts()) {
-                fencingTokens.put(host.id(), Math.max(term, host.fencingToken()));
+        for (int part = 0; part < replica.inventoryParts(); part++) {
+            InventoryRecord hosts = replica.inventory(part);
+            if (hosts != null) {
+                hosts.hosts().forEach(host -> fencingTokens.put(host.id(), Math.max(term, host.fencingToken())));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/FirstWork.java
@@ -0,0 +1,27 @@
+package org.granitepath.recovery;
+
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Priority;
+
+/**
+ * What is left to do about the work that goes first, in tasks, after a scheduling pass.
+ *
+ * @param inDoubt may be on machines not heard yet
+ * @param claiming wait for their claim to be on record
+ * @param unacknowledged were placed, and no report has listed them yet
+ * @param roomComing have no room yet, but tasks are being stopped for them
+ */
+public record FirstWork(int inDoubt, int claiming, int unacknowledged, int roomComing) {
+    /** Nothing is left. */
+    public static final FirstWork NONE = new FirstWork(0, 0, 0, 0);
+
+    /** Whether a job's tasks resume before those of others: services, and work of the highest priority. */
+    public static boolean includes(JobSpec spec) {
+        return spec.service() || spec.priority() == Priority.CRITICAL;
+    }
+
+    /** Whether nothing is left that could be placed at once. What waits for a machine to boot is not counted. */
+    boolean isPlaced() {
+        return claiming == 0 && unacknowledged == 0 && roomComing == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/MachineProfile.java
@@ -0,0 +1,12 @@
+package org.granitepath.recovery;
+
+import org.granitepath.bookkeeping.JobSpec;
+
+/** What decides which jobs a machine may hold: tasks never start on machines that their job does not allow. */
+public record MachineProfile(String type, String zone, boolean spot) {
+
+    /** Whether a task of this job can be on such a machine. */
+    public boolean allows(JobSpec spec) {
+        return spec.allowsType(type) && spec.allowsZone(zone) && (spec.spot() || !spot);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/RecoveryPhase.java
@@ -0,0 +1,20 @@
+package org.granitepath.recovery;
+
+/** The stages of a recovery, in order. A term never goes back to an earlier one. */
+public enum RecoveryPhase {
+    /** The term is won; the records are being read up to its beginning. Nothing is commanded. */
+    READING,
+    /** Reports are compared with the records; work that goes first starts as its proofs come in. */
+    RECONCILING,
+    /** No task that goes first is in doubt any more; those that have or get room are being started. */
+    RESUMING_LIVE,
+    /** All work may start, each task on its own proof; some machines are still to be heard. */
+    RESUMING_BATCH,
+    /** Every machine taken over is heard or proved gone. */
+    RECOVERED;
+
+    /** Whether work that comes after live work may start. */
+    public boolean startsBatchWork() {
+        return compareTo(RESUMING_BATCH) >= 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/RecoveryPlan.java
@@ -0,0 +1,186 @@
+package org.granitepath.recovery;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.granitepath.bookkeeping.JobSpec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The recovery of one term of leadership: which machines are still to be heard, what has been found so far, and which
+ * work may start. Work that goes first starts by the proof of each task; other work is held until the former is placed,
+ * but never beyond a bound.
+ */
+public final class RecoveryPlan {
+    private static final Logger LOG = LoggerFactory.getLogger(RecoveryPlan.class);
+
+    private final long fencingToken;
+    private final long batchHoldMicros;
+    private final RecoveryTracer tracer;
+    private final UnheardMachines unheard = new UnheardMachines();
+    private final Map<Verdict, Integer> verdicts = new EnumMap<>(Verdict.class);
+    private RecoveryPhase phase = RecoveryPhase.READING;
+    private FirstWork firstWork = FirstWork.NONE;
+    private long revision;
+    private int takenOver;
+    private long holdEndsMicros;
+    private long comparisons;
+
+    /** @param batchHoldMicros how long other work is held for work that goes first, at most; 0: not at all */
+    public RecoveryPlan(long fencingToken, long batchHoldMicros, RecoveryTracer tracer) {
+        this.fencingToken = fencingToken;
+        this.batchHoldMicros = batchHoldMicros;
+        this.tracer = tracer;
+        tracer.termBegan(fencingToken);
+        tracer.phaseEntered(phase, "term won");
+    }
+
+    /** Takes a machine of the inventory over, before the records count as read. */
+    public void takeOver(String machine, MachineProfile profile) {
+        unheard.add(profile);
+        takenOver++;
+        tracer.machineUnheard(machine);
+    }
+
+    /** Parts of the inventory that can't be read: no task is proved lost as long as this term lasts. */
+    public void takeOverUnreadable(int parts) {
+        unheard.addUnreadableParts(parts);
+    }
+
+    /** The records are read, as of this revision: from now on machines are heard. */
+    public void recordsRead(long asOfRevision, long nowMicros) {
+        revision = asOfRevision;
+        holdEndsMicros = nowMicros + batchHoldMicros;
+        if (unheard.isEmpty()) {
+            enter(RecoveryPhase.RECOVERED, "no machine to take over");
+        } else {
+            enter(RecoveryPhase.RECONCILING, takenOver + " machines taken over at revision " + revision);
+            checkBound(nowMicros);
+        }
+    }
+
+    /** A machine taken over is heard, or proved gone; true when doubts of some jobs may have ended with that. */
+    public boolean resolved(String machine, MachineProfile profile, String proof) {
+        boolean lastOfItsProfile = unheard.remove(profile);
+        tracer.machineResolved(machine, proof);
+        if (unheard.isEmpty() && phase == RecoveryPhase.RESUMING_BATCH) {
+            recovered();
+        }
+        return lastOfItsProfile;
+    }
+
+    /** The verdict on a claimed task that no report has listed so far. */
+    public Verdict ofUnreported(JobSpec spec) {
+        return VerdictTable.ofUnreported(unheard.mayHold(spec));
+    }
+
+    /** Counts a verdict on one task. */
+    public void found(Verdict verdict, int tasks) {
+        verdicts.merge(verdict, tasks, Integer::sum);
+    }
+
+    /** Counts the comparisons of an attempt with the records. */
+    public void compared(int attempts) {
+        comparisons += attempts;
+    }
+
+    /** Whether tasks of this job may start, as far as the recovery is concerned. */
+    public boolean mayStart(JobSpec spec) {
+        return phase.startsBatchWork() || (phase != RecoveryPhase.READING && FirstWork.includes(spec));
+    }
+
+    /** Ends the hold when its time is over. Called before each scheduling pass. */
+    public void checkBound(long nowMicros) {
+        if (holdsBatchWork() && nowMicros >= holdEndsMicros) {
+            resumeBatch(batchHoldMicros == 0 ? "no hold is set" : "the longest hold is over, with " + waitingFor());
+        }
+    }
+
+    /** A scheduling pass has ended and left this of the work that goes first. */
+    public void passEnded(FirstWork left) {
+        firstWork = left;
+        if (phase == RecoveryPhase.RECONCILING && left.inDoubt() == 0) {
+            enter(RecoveryPhase.RESUMING_LIVE, "no task that goes first is in doubt");
+        }
+        if (phase == RecoveryPhase.RESUMING_LIVE && left.inDoubt() == 0 && left.isPlaced()) {
+            resumeBatch("work that goes first is placed");
+        }
+    }
+
+    private void resumeBatch(String reason) {
+        enter(RecoveryPhase.RESUMING_BATCH, reason);
+        if (unheard.isEmpty()) {
+            recovered();
+        }
+    }
+
+    private void recovered() {
+        enter(RecoveryPhase.RECOVERED, "every machine taken over is heard or proved gone");
+    }
+
+    /** The term is over. */
+    public void end() {
+        tracer.termEnded();
+    }
+
+    private void enter(RecoveryPhase next, String reason) {
+        LOG.info("recovery under fencing token {}: {} -> {} ({})", fencingToken, phase, next, reason);
+        phase = next;
+        tracer.phaseEntered(next, reason);
+    }
+
+    /** Whether work is held for that which goes first. */
+    public boolean holdsBatchWork() {
+        return phase == RecoveryPhase.RECONCILING || phase == RecoveryPhase.RESUMING_LIVE;
+    }
+
+    /** What other work waits for, in words. */
+    public String waitingFor() {
+        if (!holdsBatchWork()) {
+            return "nothing";
+        }
+        return firstWork.inDoubt() + " tasks in doubt, " + firstWork.claiming() + " to be claimed, "
+                + firstWork.unacknowledged() + " sent and not seen yet, " + firstWork.roomComing() + " getting room";
+    }
+
+    /** Whether every machine taken over is heard or proved gone. */
+    public boolean allHeard() {
+        return unheard.isEmpty();
+    }
+
+    public RecoveryPhase phase() {
+        return phase;
+    }
+
+    /** The revision of the records that the recovery began with. */
+    public long revision() {
+        return revision;
+    }
+
+    public int machinesTakenOver() {
+        return takenOver;
+    }
+
+    public int machinesUnheard() {
+        return unheard.count();
+    }
+
+    public int unreadableInventoryParts() {
+        return unheard.unreadableParts();
+    }
+
+    /** When the hold ends at the latest. */
+    public long holdEndsMicros() {
+        return holdEndsMicros;
+    }
+
+    /** How many attempts were compared with the records so far. */
+    public long comparisons() {
+        return comparisons;
+    }
+
+    /** How many tasks got each verdict so far. */
+    public Map<Verdict, Integer> verdicts() {
+        return verdicts.isEmpty() ? Map.of() : new EnumMap<>(verdicts);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/RecoveryTracer.java
@@ -0,0 +1,37 @@
+package org.granitepath.recovery;
+
+/** Told how a recovery goes. Times are those of the caller's steady clock. */
+public interface RecoveryTracer {
+    /** Tells nobody. */
+    RecoveryTracer NONE = new RecoveryTracer() {
+        @Override
+        public void termBegan(long fencingToken) {}
+
+        @Override
+        public void phaseEntered(RecoveryPhase phase, String reason) {}
+
+        @Override
+        public void machineUnheard(String machine) {}
+
+        @Override
+        public void machineResolved(String machine, String proof) {}
+
+        @Override
+        public void termEnded() {}
+    };
+
+    /** A term of leadership has begun. */
+    void termBegan(long fencingToken);
+
+    /** The recovery has reached a phase. */
+    void phaseEntered(RecoveryPhase phase, String reason);
+
+    /** A machine was taken over; what is on it is in doubt. */
+    void machineUnheard(String machine);
+
+    /** What is on the machine is known, or it is gone. */
+    void machineResolved(String machine, String proof);
+
+    /** The term is over, whatever the recovery has reached. */
+    void termEnded();
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/ReportedTask.java
@@ -0,0 +1,11 @@
+package org.granitepath.recovery;
+
+/** What a report says of an attempt. */
+public enum ReportedTask {
+    /** Fetches its image, waits, runs or saves. */
+    LIVE,
+    /** Has exited with a result that completes the task. */
+    COMPLETED,
+    /** Has exited for another reason, or without a result that counts. */
+    EXITED
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/UnheardMachines.java
@@ -0,0 +1,52 @@
+package org.granitepath.recovery;
+
+import it.unimi.dsi.fastutil.objects.Object2IntLinkedOpenHashMap;
+import org.granitepath.bookkeeping.JobSpec;
+
+/**
+ * The machines taken over that have neither been heard under the present fencing token nor proved gone. They are
+ * counted by profile: whether a task may be on one of them costs as many steps as there are profiles, not machines.
+ */
+final class UnheardMachines {
+    private final Object2IntLinkedOpenHashMap<MachineProfile> byProfile = new Object2IntLinkedOpenHashMap<>();
+    private int total;
+    /** Parts of the inventory that can't be read: any machine may be among them. */
+    private int unreadableParts;
+
+    void add(MachineProfile profile) {
+        byProfile.addTo(profile, 1);
+        total++;
+    }
+
+    void addUnreadableParts(int parts) {
+        unreadableParts += parts;
+    }
+
+    /** One machine of this profile is heard or gone; true when it was the last one of its profile. */
+    boolean remove(MachineProfile profile) {
+        int left = byProfile.addTo(profile, -1) - 1;
+        total--;
+        if (left > 0) {
+            return false;
+        }
+        byProfile.removeInt(profile);
+        return true;
+    }
+
+    /** Whether a task of this job may be on one of them. */
+    boolean mayHold(JobSpec spec) {
+        return unreadableParts > 0 || byProfile.keySet().stream().anyMatch(profile -> profile.allows(spec));
+    }
+
+    boolean isEmpty() {
+        return total == 0 && unreadableParts == 0;
+    }
+
+    int count() {
+        return total;
+    }
+
+    int unreadableParts() {
+        return unreadableParts;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/granitepath/recovery/VerdictTable.java
@@ -0,0 +1,59 @@
+package org.granitepath.recovery;
+
+/**
+ * The one table by which records and reports are compared. It holds for the whole term, not only for its beginning: a
+ * report that was held up may arrive at any time. {@code docs/recovery.md} prints it.
+ */
+public final class VerdictTable {
+    private VerdictTable() {}
+
+    /** The verdict on an attempt that a report lists. */
+    public static Verdict ofReported(RecordedTask recorded, KnownPlacement placement, ReportedTask reported) {
+        if (placement == KnownPlacement.THIS_ATTEMPT) {
+            return Verdict.CONFIRMED;
+        }
+        if (recorded == RecordedTask.UNREADABLE) {
+            return Verdict.IN_DOUBT;
+        }
+        return switch (reported) {
+            case LIVE -> ofLive(recorded, placement);
+            case COMPLETED -> ofCompleted(recorded);
+            case EXITED -> Verdict.EXITED;
+        };
+    }
+
+    private static Verdict ofLive(RecordedTask recorded, KnownPlacement placement) {
+        return switch (recorded) {
+            case CLAIMED -> placement == KnownPlacement.NONE ? Verdict.ADOPTED : Verdict.STALE;
+            case UNCLAIMED, TASK_DONE, JOB_DONE, JOB_CANCELLED -> Verdict.STALE;
+            case NOT_IN_JOB, UNKNOWN_JOB -> Verdict.UNKNOWN_JOB;
+            case UNREADABLE -> Verdict.IN_DOUBT;
+        };
+    }
+
+    /** A result counts whoever started the attempt, as long as the records lack it. */
+    private static Verdict ofCompleted(RecordedTask recorded) {
+        return switch (recorded) {
+            case CLAIMED, UNCLAIMED -> Verdict.FINISHED_MEANWHILE;
+            case TASK_DONE, JOB_DONE, JOB_CANCELLED, NOT_IN_JOB, UNKNOWN_JOB -> Verdict.EXITED;
+            case UNREADABLE -> Verdict.IN_DOUBT;
+        };
+    }
+
+    /** The verdict on an attempt of this leader that the machine's report does not list. */
+    public static Verdict ofMissing(StartEvidence start) {
+        if (start.laterSession()) {
+            return Verdict.LOST;
+        }
+        if (!start.currentToken() || !start.sent() || start.unanswered()) {
+            return Verdict.IN_DOUBT;
+        }
+        boolean answerWasTaken = start.seen() || start.ownReport() || !start.inAnswer();
+        return answerWasTaken ? Verdict.LOST : Verdict.IN_DOUBT;
+    }
+
+    /** The verdict on a task that is claimed on record and that no machine heard so far has reported. */
+    public static Verdict ofUnreported(boolean mayBeOnUnheardMachine) {
+        return mayBeOnUnheardMachine ? Verdict.IN_DOUBT : Verdict.LOST;
+    }
+}
--- a/src/test/java/org/granitepath/LayersTest.java
+++ b/src/test/java/org/granitepath/LayersTest.java
@@ -15,7 +15,7 @@
 /** A package uses only those below it, and decision code does neither I/O nor threads. */
 class LayersTest {
     private static final List<String> DOWNWARDS =
-            List.of("cli", "transport", "protocol", "coordination", "bookkeeping");
+            List.of("cli", "transport", "protocol", "coordination", "recovery", "bookkeeping");
     private static final Pattern OURS = Pattern.compile("org\\.granitepath\\.([a-z]+)\\.");
     private static final Pattern IMPURE = Pattern.compile(
             "import (java\\.(io|net|nio|util\\.concurrent)|io\\.undertow|org\\.xnio)\\b.*|.*System\\.(nano|current).*");
