--- a/src/main/java/org/granitepath/cli/Command.java
+++ b/src/main/java/org/granitepath/cli/Command.java
@@ -36,8 +36,14 @@
                 description = "FILE: operators' own settings (YAML)")
         Path tuning;
 
+        @Parameter(
+                names = "--live-first",
+                description =
+                        "after a change of leader, holds other work until services are placed, for a bounded time")
+        boolean liveFirst;
+
         Settings settings() throws Settings.Invalid {
-            return Settings.read(config, tuning);
+            return Settings.read(config, tuning, liveFirst);
         }
     }
 }
--- a/src/main/java/org/granitepath/cli/Settings.java
+++ b/src/main/java/org/granitepath/cli/Settings.java
@@ -41,6 +41,11 @@
     /** Fewer leave no room for the state service, the cloud, the other controllers and a few machines and users. */
     private static final int LEAST_CONNECTIONS = 64;
 
+    /** By default the hold of a recovery is this part of a worker's lease: two reports and a little. */
+    private static final int HOLDS_OF_A_LEASE = 4;
+    /** Users allow no job to be left waiting for 90 s beside room that fits. */
+    private static final double LONGEST_HOLD_SECONDS = 60;
+
     /** An address to listen on or to call. */
     public record Address(String host, int port) {}
 
@@ -56,9 +61,11 @@
     /**
      * Reads and checks the platform's file and, if {@code tuningFile} is not null, the operators' own.
      *
+     * @param liveFirst whether a recovery holds other work for services, for a time that follows from the leases
+     *     unless the operators' file names one
      * @throws Invalid when a setting can't be used
      */
-    public static Settings read(Path file, Path tuningFile) throws Invalid {
+    public static Settings read(Path file, Path tuningFile, boolean liveFirst) throws Invalid {
         UnmodifiableConfig toml = parse(file);
         Map<String, String> peers = new LinkedHashMap<>();
         Map<String, String> peerZones = new LinkedHashMap<>();
@@ -66,7 +73,9 @@
             peers.put(text(peer, "node_name"), addressText(peer, "addr"));
             peerZones.put(text(peer, "node_name"), text(peer, "site"));
         }
-        Config config = config(toml, peerZones, tuning(tuningFile));
+        long defaultHold = liveFirst ? positive(toml, "facts.workers.lease_s") / HOLDS_OF_A_LEASE : 0;
+        Config config = config(toml, peerZones, tuning(tuningFile, defaultHold));
+        checkHold(config.tuning(), liveFirst);
         checkTimes(config);
         checkTeams(config.teams().values());
         return new Settings(
@@ -208,6 +217,16 @@
         }
     }
 
+    /** A hold that contradicts what else was asked for. */
+    private static void checkHold(Config.Tuning tuning, boolean liveFirst) throws Invalid {
+        if (liveFirst && tuning.recoveryHoldMicros() == 0) {
+            throw new Invalid("recovery-hold-s is 0, but --live-first asks for a hold");
+        }
+        if (tuning.recoveryHoldMicros() >= tuning.maxStarvationMicros()) {
+            throw new Invalid("recovery-hold-s must be less than max-starvation-s");
+        }
+    }
+
     private static void checkTeams(Collection<Config.Team> teams) throws Invalid {
         for (Config.Team t : teams) {
             if (t.cpuGuarantee() < 0 || t.cpuLimit() < 0 || t.gpuGuarantee() < 0 || t.gpuLimit() < 0) {
@@ -222,8 +241,8 @@
 
     // ---- operators' own settings ---------------------------------------------------------------------------------
 
-    private static Config.Tuning tuning(Path file) throws Invalid {
-        Config.Tuning d = Config.Tuning.defaults();
+    private static Config.Tuning tuning(Path file, long defaultHoldMicros) throws Invalid {
+        Config.Tuning d = Config.Tuning.defaults().withRecoveryHold(defaultHoldMicros);
         if (file == null) {
             return d;
         }
@@ -257,7 +276,7 @@
                 (int) real(rest, "claim-block", d.claimBlock(), 1, 100_000),
                 seconds(rest, "max-starvation-s", d.maxStarvationMicros(), 1, 86_400),
                 real(rest, "headroom-share", d.headroomShare(), 0, 10),
-                seconds(rest, "recovery-hold-s", d.recoveryHoldMicros(), 0, 60));
+                seconds(rest, "recovery-hold-s", d.recoveryHoldMicros(), 0, LONGEST_HOLD_SECONDS));
         if (!rest.isEmpty()) {
             String unknown = rest.keySet().iterator().next();
             String renamed = RENAMED.get(unknown);
--- a/src/main/java/org/granitepath/coordination/Config.java
+++ b/src/main/java/org/granitepath/coordination/Config.java
@@ -95,6 +95,24 @@
             return new Tuning(3_000_000, 0.5, 0.7, 1000, 16, 4, 1, 0.5, 10_000_000, 6, 150_000_000, 0.08, 0);
         }
 
+        /** The same choices with another hold. */
+        public Tuning withRecoveryHold(long micros) {
+            return new Tuning(
+                    leaderLeaseMicros,
+                    idleShare,
+                    idleShareSpot,
+                    criticalWeight,
+                    highWeight,
+                    standardWeight,
+                    bestEffortWeight,
+                    deferralShare,
+                    gangHoldMicros,
+                    claimBlock,
+                    maxStarvationMicros,
+                    headroomShare,
+                    micros);
+        }
+
         /** Tasks claimed with the acceptance: of work that runs together, all. */
         public int firstBlock(JobSpec spec) {
             return spec.gang()
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -13,6 +13,7 @@
 import org.granitepath.bookkeeping.StatePort;
 import org.granitepath.bookkeeping.StoredRecord;
 import org.granitepath.bookkeeping.Timers;
+import org.granitepath.recovery.RecoveryStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -139,6 +140,11 @@
         return dispatcher != null;
     }
 
+    /** How far the recovery of the present term has come, or why this controller can't tell. */
+    public RecoveryStatus recoveryStatus() {
+        return RecoveryReport.of(config, leadership, replica, dispatcher, timers.nowMicros());
+    }
+
     /** Takes a submission; answered once it is on record. */
     public void submit(JobSpec spec, Consumer<JobResponse> then) {
         requestHandler.submit(spec, then);
--- a/src/main/java/org/granitepath/coordination/Dispatcher.java
+++ b/src/main/java/org/granitepath/coordination/Dispatcher.java
@@ -194,6 +194,14 @@
                 epoch -> {});
     }
 
+    TermRecovery recovery() {
+        return recovery;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
     /** Whether most machines have become unresponsive to us while a peer hears them. */
     boolean cutFromWorkers(int turnedAwayByPeer) {
         return fleet.cutFromWorkers(turnedAwayByPeer);
--- a/src/main/java/org/granitepath/coordination/Leadership.java
+++ b/src/main/java/org/granitepath/coordination/Leadership.java
@@ -88,6 +88,11 @@
         return term != null;
     }
 
+    /** The fencing token of our term, or 0. */
+    long fencingToken() {
+        return term == null ? 0 : term.fencingToken();
+    }
+
     /** Whether workers may be answered: we lead, and could not have missed a cancellation for too long. */
     boolean answersWorkers() {
         refreshPhase();
--- a/src/main/java/org/granitepath/coordination/TermRecovery.java
+++ b/src/main/java/org/granitepath/coordination/TermRecovery.java
@@ -86,6 +86,11 @@
         }
     }
 
+    /** How many claimed tasks may be on machines that are still to be heard. */
+    int tasksInDoubt() {
+        return jobs.all().stream().mapToInt(job -> job.unconfirmed.size()).sum();
+    }
+
     private FirstWork firstWork(int roomComing) {
         int inDoubt = 0;
         int claiming = 0;
--- a/src/main/java/org/granitepath/recovery/RecoveryPlan.java
+++ b/src/main/java/org/granitepath/recovery/RecoveryPlan.java
@@ -148,6 +148,10 @@
         return unheard.isEmpty();
     }
 
+    public long fencingToken() {
+        return fencingToken;
+    }
+
     public RecoveryPhase phase() {
         return phase;
     }
--- a/src/main/java/org/granitepath/transport/BackServer.java
+++ b/src/main/java/org/granitepath/transport/BackServer.java
@@ -7,9 +7,12 @@
 import org.granitepath.coordination.Controller;
 import org.granitepath.coordination.PeerPort;
 import org.granitepath.protocol.PeerCodec;
+import org.granitepath.protocol.RecoveryStatusCodec;
 
 /** What the other controllers and the operators talk to. */
 public final class BackServer {
+    private static final String RECOVERY = "/recovery";
+
     private final Controller controller;
     private final Metrics metrics;
 
@@ -24,6 +27,9 @@
                     if (exchange.getRequestPath().equals("/metrics")) {
                         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
                         exchange.getResponseSender().send(metrics.text());
+                    } else if (exchange.getRequestPath().equals(RECOVERY)) {
+                        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+                        exchange.getResponseSender().send(RecoveryStatusCodec.encode(controller.recoveryStatus()));
                     } else if (exchange.getRequestPath().equals(PeerClient.STATUS)) {
                         exchange.getRequestReceiver().receiveFullBytes((ex, bytes) -> {
                             PeerPort.PeerStatus theirs = PeerCodec.decode(bytes);
--- a/src/main/java/org/granitepath/transport/Metrics.java
+++ b/src/main/java/org/granitepath/transport/Metrics.java
@@ -5,9 +5,14 @@
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
+import org.granitepath.recovery.RecoveryPhase;
+import org.granitepath.recovery.RecoveryStatus;
+import org.granitepath.recovery.Verdict;
 
 /** Counts and latencies of the requests served. The registry is made when first asked for: starts stay short. */
 final class Metrics {
@@ -17,12 +22,17 @@
     private final Map<String, Histogram> latencies = new TreeMap<>();
     private final Object2LongOpenHashMap<String> answers = new Object2LongOpenHashMap<>();
     private Connections connections;
+    private Supplier<RecoveryStatus> recovery;
     private SimpleMeterRegistry registry;
 
     void watch(Connections held) {
         connections = held;
     }
 
+    void watch(Supplier<RecoveryStatus> recoveryStatus) {
+        recovery = recoveryStatus;
+    }
+
     void served(String what, int status, long micros) {
         latencies
                 .computeIfAbsent(what, k -> new Histogram(LONGEST_MICROS, 2))
@@ -30,10 +40,38 @@
         answers.addTo(what + " " + status, 1);
     }
 
+    /** The phase is a set of gauges of which the present one is 1; all are 0 while this controller has no term. */
+    private void registerRecovery() {
+        for (RecoveryPhase phase : RecoveryPhase.values()) {
+            Gauge.builder("granitepath.recovery.phase", recovery, r -> r.get().phase() == phase ? 1 : 0)
+                    .tags("phase", phase.name().toLowerCase(Locale.ROOT))
+                    .register(registry);
+        }
+        Gauge.builder(
+                        "granitepath.recovery.machines.missing",
+                        recovery,
+                        r -> r.get().machinesMissing())
+                .register(registry);
+        Gauge.builder(
+                        "granitepath.recovery.records.unreadable",
+                        recovery,
+                        r -> r.get().unreadableRecords())
+                .register(registry);
+        for (Verdict verdict : Verdict.values()) {
+            Gauge.builder(
+                            "granitepath.recovery.tasks",
+                            recovery,
+                            r -> r.get().tasks().getOrDefault(verdict, 0))
+                    .tags("verdict", verdict.name().toLowerCase(Locale.ROOT))
+                    .register(registry);
+        }
+    }
+
     /** One line a meter: name, tags, value. */
     String text() {
         if (registry == null) {
             registry = new SimpleMeterRegistry();
+            registerRecovery();
             Gauge.builder("granitepath.connections", connections, Connections::machines)
                     .tags("of", "machines")
                     .register(registry);
--- a/src/main/java/org/granitepath/transport/ServiceServer.java
+++ b/src/main/java/org/granitepath/transport/ServiceServer.java
@@ -52,6 +52,7 @@
         Metrics metrics = new Metrics();
         Connections connections = new Connections(config.machineConnections(), config.heldConnections());
         metrics.watch(connections);
+        metrics.watch(controller::recoveryStatus);
         ServiceServer service = new ServiceServer(controller, metrics, loop, connections);
         new BackServer(controller, metrics).listen(loop, backHost, backPort, config.backlog());
         builder(loop, host, port, config.backlog())
--- a/src/test/java/org/granitepath/cli/MainTest.java
+++ b/src/test/java/org/granitepath/cli/MainTest.java
@@ -54,7 +54,7 @@
 
     @Test
     void goodSettingsAreReadAndUnknownFieldsIgnored() throws Exception {
-        Settings s = Settings.read(file("a.toml", GOOD), null);
+        Settings s = Settings.read(file("a.toml", GOOD), null, false);
         assertEquals(12_500, s.config().teams().get("t").cpuLimit());
         assertEquals(1.5, s.config().objectives().get("c").deadlineTimes());
         assertEquals(25_000, s.config().skewMicros());
@@ -63,16 +63,16 @@
     @Test
     void badSettingsAreNamed() throws IOException {
         Path bad = file("b.toml", GOOD.replace("lease_s = 10.0", "lease_s = \"ten\""));
-        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(bad, null));
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(bad, null, false));
         assertTrue(e.getMessage().contains("facts.workers.lease_s"), e.getMessage());
         Path sockets = file("s.toml", GOOD + "[facts.resources]\nmax_connections = 0\n");
-        e = assertThrows(Settings.Invalid.class, () -> Settings.read(sockets, null));
+        e = assertThrows(Settings.Invalid.class, () -> Settings.read(sockets, null, false));
         assertTrue(e.getMessage().contains("facts.resources.max_connections"), e.getMessage());
         Path tuning = file("t.yaml", "idle-shar: 2\n");
-        e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), tuning));
+        e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), tuning, false));
         assertTrue(e.getMessage().contains("idle-shar"), e.getMessage());
         Path former = file("f.yaml", "patience-share: 0.4\n");
-        e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), former));
+        e = assertThrows(Settings.Invalid.class, () -> Settings.read(file("c.toml", GOOD), former, false));
         assertTrue(e.getMessage().contains("deferral-share"), e.getMessage());
     }
 
@@ -90,13 +90,13 @@
 
     private void assertInvalid(String named, String good, String bad) throws IOException {
         Path file = file("x.toml", GOOD.replace(good, bad));
-        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(file, null));
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(file, null, false));
         assertTrue(e.getMessage().contains(named) && !e.getMessage().contains("\n"), e.getMessage());
     }
 
     @Test
     void leastTimesAreAccepted() throws Exception {
-        Settings s = Settings.read(file("y.toml", GOOD.replace("cancel_s = 30.0", "cancel_s = 14.1")), null);
+        Settings s = Settings.read(file("y.toml", GOOD.replace("cancel_s = 30.0", "cancel_s = 14.1")), null, false);
         assertTrue(s.config().maxDisconnectedMicros() >= 1_000_000);
     }
 
@@ -117,13 +117,14 @@
     /** Limits that the state service will have later hold from the first start, since they come without notice. */
     @Test
     void nextLimitsAreKeptFromTheStart() throws Exception {
-        Settings next = Settings.read(file("n.toml", GOOD.replace("txn_ops = 8\n", NEXT)), null);
+        Settings next = Settings.read(file("n.toml", GOOD.replace("txn_ops = 8\n", NEXT)), null, false);
         assertEquals(new StateLimits(7.5, 2048, 5), next.config().stateLimits());
-        Settings present = Settings.read(file("p.toml", GOOD), null);
+        Settings present = Settings.read(file("p.toml", GOOD), null, false);
         assertEquals(new StateLimits(10, 8192, 8), present.config().stateLimits());
         Settings some = Settings.read(
                 file("o.toml", GOOD.replace("txn_ops = 8\n", "txn_ops = 8\n[facts.state.next]\nvalue_kb = 4.0\n")),
-                null);
+                null,
+                false);
         assertEquals(new StateLimits(10, 4096, 8), some.config().stateLimits());
     }
 
--- a/src/test/java/org/granitepath/cli/ServeHttpTest.java
+++ b/src/test/java/org/granitepath/cli/ServeHttpTest.java
@@ -37,7 +37,7 @@
                                 .replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"")
                                 .replace("127.0.0.1:2\"", "127.0.0.1:" + freePort() + "\"")
                         + "[facts.resources]\nmax_connections = " + MOST + "\n");
-        ServeCommand.start(Settings.read(file, null));
+        ServeCommand.start(Settings.read(file, null, false));
     }
 
     private static int freePort() throws IOException {
