--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -140,6 +140,11 @@
         return dispatcher != null;
     }
 
+    /** The fencing token of the present term of this controller; 0 while it does not lead. */
+    public long term() {
+        return leadership.fencingToken();
+    }
+
     /** How far the recovery of the present term has come, or why this controller can't tell. */
     public RecoveryStatus recoveryStatus() {
         return RecoveryReport.of(config, leadership, replica, dispatcher, timers.nowMicros());
--- /dev/null
+++ b/src/test/java/org/granitepath/recovery/RecoveryPlanTest.java
@@ -0,0 +1,173 @@
+package org.granitepath.recovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Priority;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RecoveryPlanTest {
+    private static final long SECOND = 1_000_000;
+    private static final long HOLD = 5 * SECOND;
+    private static final MachineProfile NORTH = new MachineProfile("small", "north", false);
+    private static final MachineProfile SOUTH_SPOT = new MachineProfile("small", "south", true);
+    private static final FirstWork DOUBT = new FirstWork(1, 0, 0, 0);
+    private static final FirstWork UNSEEN = new FirstWork(0, 0, 1, 0);
+
+    private static JobSpec job(JobSpec.Shape shape, Priority priority, String zone, boolean spot) {
+        return new JobSpec(
+                "run-1",
+                "c",
+                "t",
+                shape,
+                priority,
+                3,
+                1_000,
+                0,
+                1_000,
+                "img",
+                1,
+                null,
+                zone,
+                false,
+                false,
+                spot,
+                SECOND,
+                0,
+                0,
+                JobSpec.NO_DEADLINE);
+    }
+
+    private static final JobSpec SERVICE = job(JobSpec.Shape.SERVICE, Priority.CRITICAL, null, false);
+    private static final JobSpec BATCH = job(JobSpec.Shape.BATCH, Priority.STANDARD, null, true);
+
+    private static RecoveryPlan plan(long hold) {
+        RecoveryPlan plan = new RecoveryPlan(7, hold, RecoveryTracer.NONE);
+        plan.takeOver("a", NORTH);
+        plan.takeOver("b", SOUTH_SPOT);
+        return plan;
+    }
+
+    @Test
+    void nothingStartsWhileTheRecordsAreRead() {
+        RecoveryPlan plan = plan(HOLD);
+        assertEquals(RecoveryPhase.READING, plan.phase());
+        assertFalse(plan.mayStart(SERVICE));
+        assertFalse(plan.mayStart(BATCH));
+    }
+
+    @Test
+    void servicesFirstThenTheRestThenRecovered() {
+        RecoveryPlan plan = plan(HOLD);
+        plan.recordsRead(42, 0);
+        assertEquals(RecoveryPhase.RECONCILING, plan.phase());
+        assertTrue(plan.mayStart(SERVICE));
+        assertFalse(plan.mayStart(BATCH));
+        plan.passEnded(DOUBT);
+        assertEquals(RecoveryPhase.RECONCILING, plan.phase());
+        plan.passEnded(UNSEEN);
+        assertEquals(RecoveryPhase.RESUMING_LIVE, plan.phase());
+        assertFalse(plan.mayStart(BATCH));
+        plan.passEnded(FirstWork.NONE);
+        assertEquals(RecoveryPhase.RESUMING_BATCH, plan.phase());
+        assertTrue(plan.mayStart(BATCH));
+        plan.resolved("a", NORTH, "heard");
+        assertEquals(RecoveryPhase.RESUMING_BATCH, plan.phase());
+        plan.resolved("b", SOUTH_SPOT, "lease over");
+        assertEquals(RecoveryPhase.RECOVERED, plan.phase());
+    }
+
+    @Test
+    void theHoldEndsInTime() {
+        for (FirstWork left : List.of(DOUBT, UNSEEN, new FirstWork(0, 1, 0, 0), new FirstWork(0, 0, 0, 1))) {
+            RecoveryPlan plan = plan(HOLD);
+            plan.recordsRead(42, 100);
+            plan.checkBound(100 + HOLD - 1);
+            plan.passEnded(left);
+            assertFalse(plan.mayStart(BATCH), left.toString());
+            plan.checkBound(100 + HOLD);
+            assertTrue(plan.mayStart(BATCH), left.toString());
+        }
+    }
+
+    @Test
+    void withoutAHoldNothingWaits() {
+        RecoveryPlan plan = plan(0);
+        plan.recordsRead(42, 0);
+        assertTrue(plan.mayStart(BATCH));
+        assertEquals(RecoveryPhase.RESUMING_BATCH, plan.phase());
+    }
+
+    @Test
+    void withoutMachinesThereIsNothingToRecover() {
+        RecoveryPlan plan = new RecoveryPlan(7, HOLD, RecoveryTracer.NONE);
+        plan.recordsRead(1, 0);
+        assertEquals(RecoveryPhase.RECOVERED, plan.phase());
+        assertTrue(plan.mayStart(BATCH));
+    }
+
+    /** A task is lost once no machine is left that its job may use, whatever others are silent. */
+    @Test
+    void onlyMachinesThatTheJobMayUseAreWaitedFor() {
+        RecoveryPlan plan = plan(HOLD);
+        plan.recordsRead(42, 0);
+        JobSpec inTheSouth = job(JobSpec.Shape.BATCH, Priority.STANDARD, "south", true);
+        assertEquals(Verdict.IN_DOUBT, plan.ofUnreported(SERVICE));
+        assertTrue(plan.resolved("a", NORTH, "heard"));
+        assertEquals(Verdict.LOST, plan.ofUnreported(SERVICE));
+        assertEquals(Verdict.IN_DOUBT, plan.ofUnreported(BATCH));
+        assertEquals(Verdict.IN_DOUBT, plan.ofUnreported(inTheSouth));
+        assertEquals(Verdict.LOST, plan.ofUnreported(job(JobSpec.Shape.BATCH, Priority.STANDARD, "north", true)));
+    }
+
+    /** Any machine may be in a part of the inventory that can't be read. */
+    @Test
+    void anUnreadablePartOfTheInventoryLeavesAllInDoubt() {
+        RecoveryPlan plan = plan(HOLD);
+        plan.takeOverUnreadable(1);
+        plan.recordsRead(42, 0);
+        plan.resolved("a", NORTH, "heard");
+        plan.resolved("b", SOUTH_SPOT, "heard");
+        assertFalse(plan.allHeard());
+        assertEquals(Verdict.IN_DOUBT, plan.ofUnreported(SERVICE));
+        plan.checkBound(HOLD);
+        assertEquals(RecoveryPhase.RESUMING_BATCH, plan.phase());
+    }
+
+    /** Any order of events: phases only go forward, and other work never starts before the hold has a reason to end. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void anyOrderOfEvents(long seed) {
+        Random random = new Random(seed);
+        for (int run = 0; run < 200; run++) {
+            List<RecoveryPhase> phases = new ArrayList<>();
+            RecoveryPlan plan = plan(HOLD);
+            plan.recordsRead(1, 0);
+            List<Runnable> machines = new ArrayList<>(
+                    List.of(() -> plan.resolved("a", NORTH, "heard"), () -> plan.resolved("b", SOUTH_SPOT, "heard")));
+            long now = 0;
+            for (int step = 0; step < 40; step++) {
+                now += random.nextInt((int) SECOND / 2);
+                plan.checkBound(now);
+                FirstWork left =
+                        new FirstWork(random.nextInt(2), random.nextInt(2), random.nextInt(2), random.nextInt(2));
+                plan.passEnded(left);
+                if (!machines.isEmpty() && random.nextInt(10) == 0) {
+                    machines.remove(random.nextInt(machines.size())).run();
+                }
+                phases.add(plan.phase());
+                assertTrue(now < HOLD || plan.mayStart(BATCH), "held beyond the bound");
+                assertEquals(plan.allHeard() && plan.mayStart(BATCH), plan.phase() == RecoveryPhase.RECOVERED);
+            }
+            List<RecoveryPhase> sorted = phases.stream().sorted().toList();
+            assertEquals(sorted, phases);
+        }
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -60,7 +60,7 @@
         this.cancelMicros = cancelMicros;
     }
 
-    private void breach(String rule, String what) {
+    void breach(String rule, String what) {
         broken.add(rule + " at " + world.now() / 1e6 + " s: " + what);
     }
 
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimCommands.java
@@ -0,0 +1,68 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.granitepath.coordination.TaskId;
+import org.granitepath.coordination.WorkerCommand;
+
+/** What controllers command, in order, and whether they may: no machine before its own report, no start twice. */
+final class SimCommands {
+    /** A start that was sent, arrived or not. */
+    record Start(long at, String node, String host, TaskId task) {}
+
+    private record Heard(long term, String host) {}
+
+    private record Sent(String host, TaskId task, long attempt) {}
+
+    private final World world;
+    private final Rules rules;
+    private final List<Start> starts = new ArrayList<>();
+    private final Set<Sent> sent = new HashSet<>();
+    private final Map<String, Integer> startsByHost = new HashMap<>();
+    private final Set<Heard> heard = new HashSet<>();
+
+    SimCommands(World world, Rules rules) {
+        this.world = world;
+        this.rules = rules;
+    }
+
+    /** The leader of this term knows what is on the machine. */
+    void heard(long term, String host) {
+        heard.add(new Heard(term, host));
+    }
+
+    /** @param term the fencing token of the term in which the controller commands */
+    void sent(long term, String node, String host, List<WorkerCommand> commands) {
+        if (!commands.isEmpty() && !heard.contains(new Heard(term, host))) {
+            rules.breach("commanded_unheard", node + " commands " + host + ", not heard in term " + term);
+        }
+        for (WorkerCommand command : commands) {
+            if (command.verb() == WorkerCommand.Verb.START) {
+                started(node, host, command);
+            }
+        }
+    }
+
+    private void started(String node, String host, WorkerCommand command) {
+        rules.commandSent(command.task());
+        starts.add(new Start(world.now(), node, host, command.task()));
+        startsByHost.merge(host, 1, Integer::sum);
+        if (!sent.add(new Sent(host, command.task(), command.attempt()))) {
+            rules.breach("start_repeated", command.task() + " attempt " + command.attempt() + " to " + host);
+        }
+    }
+
+    /** How many starts this machine was ever told, heard or not. */
+    int startsOf(String host) {
+        return startsByHost.getOrDefault(host, 0);
+    }
+
+    /** The starts sent from this time on, in order. */
+    List<Start> startsSince(long micros) {
+        return starts.stream().filter(start -> start.at() >= micros).toList();
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -26,6 +26,7 @@
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.WorkerCommand;
 import org.granitepath.coordination.WorkerPort;
+import org.granitepath.recovery.RecoveryStatus;
 
 /** Controllers with stand-ins for all around them, users included, in simulated time from a seed. */
 final class Simulation {
@@ -82,7 +83,7 @@
                     5,
                     250_000,
                     shape.connections,
-                    Config.Tuning.defaults());
+                    Config.Tuning.defaults().withRecoveryHold(recoveryHold));
             controller = new Controller(
                     config, state.portFor(name), cloud.portFor(name), workerPort(name), peerPort(name), new Timers() {
                         @Override
@@ -168,17 +169,19 @@
     final List<String> names;
     final World world;
     final Rules rules;
+    final SimCommands commands;
     final SimState state;
     final SimCloud cloud;
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
     private final Set<TaskId> results = new HashSet<>();
-    private final Map<String, Integer> startsAsked = new HashMap<>();
     private final Map<String, Integer> reportsAccepted = new HashMap<>();
     /** Controllers that users don't get to. */
     private final Set<String> unreachable = new HashSet<>();
     /** For how long direct calls that start tasks are held up on their way; others overtake them. */
     long heldStarts;
+    /** How long a recovery holds other work for services, for controllers that start from now on. */
+    long recoveryHold;
     /** Peers never pass cancellations on: what is safe must be safe without. */
     boolean peersSendNoCancellations;
     /** Share of jobs that are called off at the very moment at which their last task ends. */
@@ -207,6 +210,7 @@
         names = IntStream.range(0, shape.controllers).mapToObj(i -> "n" + i).toList();
         world = new World(seed);
         rules = new Rules(world, TEAMS, shape.cancel, this::endedOnMachines);
+        commands = new SimCommands(world, rules);
         gangs = new SimGangs(world, rules, results);
         limits = new StateLimits(shape.writes, shape.valueBytes, shape.txnOps);
         state = new SimState(world, shape.txnOps, shape.valueBytes, shape.requests, shape.writes);
@@ -234,7 +238,10 @@
                                         c == null ? new HeartbeatResponse.Unavailable() : c.heartbeat(heartbeat);
                                 if (answer instanceof HeartbeatResponse.Accepted a) {
                                     reportsAccepted.merge(node, 1, Integer::sum);
-                                    countStarts(heartbeat.host(), a.commands());
+                                    if (c.leader()) {
+                                        commands.heard(c.term(), heartbeat.host());
+                                        commands.sent(c.term(), node, heartbeat.host(), a.commands());
+                                    }
                                 }
                                 return answer;
                             }
@@ -266,20 +273,6 @@
         return ZONES.get(names.indexOf(node) % ZONES.size());
     }
 
-    private void countStarts(String host, List<WorkerCommand> commands) {
-        for (WorkerCommand o : commands) {
-            if (o.verb() == WorkerCommand.Verb.START) {
-                rules.commandSent(o.task());
-                startsAsked.merge(host, 1, Integer::sum);
-            }
-        }
-    }
-
-    /** How many starts this machine was ever told, heard or not. */
-    int startsAskedOf(SimWorker w) {
-        return startsAsked.getOrDefault(w.id, 0);
-    }
-
     private PeerPort peerPort(String node) {
         return new PeerPort() {
             @Override
@@ -326,7 +319,8 @@
                     long session,
                     List<WorkerCommand> commands,
                     Consumer<Reply> then) {
-                countStarts(address, commands);
+                long term = nodes.get(node).controller.term();
+                Simulation.this.commands.sent(term, node, address, commands);
                 boolean starts = commands.stream().anyMatch(o -> o.verb() == WorkerCommand.Verb.START);
                 mostCalls = Math.max(mostCalls, ++calls);
                 world.<Reply>callLater(
@@ -344,6 +338,9 @@
                         },
                         r -> {
                             calls--;
+                            if (r != null) {
+                                Simulation.this.commands.heard(term, address);
+                            }
                             then.accept(r == null ? new Reply(false, null) : r);
                         });
             }
@@ -526,6 +523,23 @@
         return reportsAccepted.getOrDefault(node, 0);
     }
 
+    /** What the leader tells of its recovery; null while nobody leads. */
+    RecoveryStatus recovery() {
+        Node leader = nodes.get(leader());
+        return leader.controller != null && leader.controller.leader() ? leader.controller.recoveryStatus() : null;
+    }
+
+    /** What this controller tells of recoveries; null while it is down. */
+    RecoveryStatus recoveryAt(String node) {
+        Controller controller = nodes.get(node).controller;
+        return controller == null ? null : controller.recoveryStatus();
+    }
+
+    /** All controllers end at once; each comes back within the given time. */
+    void crashAll(long longestDownMicros) {
+        names.forEach(n -> crash(n, 20_000 + (long) (world.random.nextDouble() * longestDownMicros)));
+    }
+
     String anyNode() {
         return names.get(world.random.nextInt(names.size()));
     }
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -152,7 +152,7 @@
         int[] before = new int[1];
         s.world.after(40 * SECOND, () -> {
             cut[0] = s.anyWorker();
-            before[0] = s.startsAskedOf(cut[0]);
+            before[0] = s.commands.startsOf(cut[0].id);
             if (seed % 2 == 0) {
                 s.deafen(cut[0], 150 * SECOND);
             } else {
@@ -163,7 +163,7 @@
         assertRulesAndAllDone(s);
         assertFalse(cut[0].alive(), "it is to be returned");
         int slots = (int) (cut[0].type.cpuMillis() / 2_000);
-        int filled = s.startsAskedOf(cut[0]) - before[0];
+        int filled = s.commands.startsOf(cut[0].id) - before[0];
         assertTrue(filled <= 2 * slots, "filled again and again: " + filled + " starts on " + slots + " places");
     }
 
@@ -184,13 +184,13 @@
                 45 * SECOND,
                 () -> s.cloud.workers().stream().limit(5).forEach(w -> {
                     deaf.add(w);
-                    before.add(s.startsAskedOf(w));
+                    before.add(s.commands.startsOf(w.id));
                     s.deafen(w, 80 * SECOND);
                 }));
         s.run(125 * SECOND);
         for (int i = 0; i < deaf.size(); i++) {
             int slots = (int) (deaf.get(i).type.cpuMillis() / 2_000);
-            int filled = s.startsAskedOf(deaf.get(i)) - before.get(i);
+            int filled = s.commands.startsOf(deaf.get(i).id) - before.get(i);
             assertTrue(filled <= 2 * slots, "filled again and again: " + filled + " starts on " + slots + " places");
         }
         s.run(130 * SECOND, 700 * SECOND);
@@ -210,14 +210,14 @@
             gone[0] = s.anyWorker();
             Heartbeat late = gone[0].latest();
             gone[0].die();
-            s.world.after(30 * SECOND, () -> before[0] = s.startsAskedOf(gone[0]));
+            s.world.after(30 * SECOND, () -> before[0] = s.commands.startsOf(gone[0].id));
             for (int i = 31; i < 60; i += 7) {
                 s.world.after(i * SECOND, () -> s.deliver(late));
             }
         });
         s.run(110 * SECOND);
         assertRules(s);
-        assertEquals(before[0], s.startsAskedOf(gone[0]), "work was placed on a machine that is gone");
+        assertEquals(before[0], s.commands.startsOf(gone[0].id), "work was placed on a machine that is gone");
     }
 
     /** Copies of reports and requests, seconds to several leases late, while leaders and machines come and go. */
