Loopback test: three packaged controllers and forty stand-in workers through a cold restart

Stand-ins of the state service, the cloud and the workers over real sockets, and a history of all that machines were ordered and ran. All controllers are killed at once under running services and half-finished batch work, once also with the state service away and a second kill in mid-recovery. Asserted: no task on two machines, no start ordered twice in a session, every lost replica ordered before any batch task.

--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/CloudStandIn.java
@@ -0,0 +1,84 @@
+package org.granitepath.loopback;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import org.granitepath.bookkeeping.Fields;
+
+/** A stand-in for a cloud with a fixed set of machines, all of one type: nothing more is to be had. */
+final class CloudStandIn extends HttpStandIn {
+    static final String TYPE = "box";
+    static final String ZONE = "here";
+    static final int CPUS = 4;
+    /** Idle machines are kept for a part of the time that a new one takes to boot: no test lasts that long. */
+    private static final int BOOT_SECONDS = 1_200;
+
+    private final Map<String, WorkerStandIn> machines = new LinkedHashMap<>();
+
+    CloudStandIn(Executor executor) {
+        super(executor);
+        listen();
+    }
+
+    synchronized void add(WorkerStandIn worker) {
+        machines.put(worker.id(), worker);
+    }
+
+    @Override
+    synchronized Answer answer(String method, String path, Map<String, String> query, Map<String, Object> body) {
+        if (path.equals("/flavors")) {
+            return Answer.ok(Map.of("models", List.of(type())));
+        } else if (path.equals("/rentals/return")) {
+            for (Object id : Fields.listOf(body, "hosts")) {
+                WorkerStandIn worker = machines.remove(String.valueOf(id));
+                if (worker != null) {
+                    worker.close();
+                }
+            }
+            return Answer.ok(Map.of());
+        } else if (method.equals("POST")) {
+            return Answer.error(503, "no capacity");
+        }
+        return Answer.ok(Map.of("hosts", rows(query.getOrDefault("from", "")), "has_next", false));
+    }
+
+    private static Map<String, Object> type() {
+        Map<String, Object> type = new LinkedHashMap<>();
+        type.put("sku", TYPE);
+        type.put("cpus", (double) CPUS);
+        type.put("cards", 0);
+        type.put("mem_gb", 16.0);
+        type.put("fetch_gb_per_s", 1.0);
+        type.put("rate", 1.0);
+        type.put("market_price", 0.3);
+        type.put("ready_s", BOOT_SECONDS);
+        type.put("sites", List.of(ZONE));
+        return type;
+    }
+
+    private List<Object> rows(String from) {
+        List<Object> rows = new ArrayList<>();
+        for (WorkerStandIn worker : machines.values()) {
+            if (worker.id().compareTo(from) > 0) {
+                rows.add(Map.of(
+                        "uid",
+                        worker.id(),
+                        "address",
+                        worker.address(),
+                        "model",
+                        TYPE,
+                        "site",
+                        ZONE,
+                        "loaner",
+                        false,
+                        "status",
+                        "running",
+                        "held_s",
+                        1.0));
+            }
+        }
+        return rows;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/Cluster.java
@@ -0,0 +1,202 @@
+package org.granitepath.loopback;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.granitepath.loopback.ControllerProcess.Reply;
+import org.granitepath.protocol.Json;
+
+/** Three controller processes and stand-in workers, with a state service and a cloud of our own, on loopback. */
+final class Cluster implements AutoCloseable {
+    private static final int CONTROLLERS = 3;
+    private static final long REPORT_MILLIS = 1_000;
+    /** Long enough for a machine under load to report in time. */
+    private static final long LEASE_MILLIS = 20_000;
+
+    /** Of a job that a user submits: how many tasks, whether they run on, and how long they take otherwise. */
+    record Job(String id, boolean service, int tasks, int cpus, long runMillis) {
+        String submission() {
+            Map<String, Object> fields = new LinkedHashMap<>();
+            fields.put("uid", id);
+            fields.put("lane", service ? "live" : "batch");
+            fields.put("owner", "team");
+            fields.put("shape", service ? "daemon" : "batch");
+            fields.put("rank", service ? "critical" : "standard");
+            fields.put("pieces", tasks);
+            fields.put("cpus", (double) cpus);
+            fields.put("cards", 0.0);
+            fields.put("mem_gb", 1.0);
+            fields.put("bundle", "image");
+            fields.put("size_gb", 1.0);
+            fields.put("same_place", false);
+            fields.put("scatter", false);
+            fields.put("loaner", false);
+            fields.put("expect_s", service ? 0.0 : runMillis / 1e3);
+            fields.put("snapshot_s", 0.0);
+            fields.put("flush_s", 0.0);
+            return Json.text(fields);
+        }
+    }
+
+    private final ExecutorService executor = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    });
+    final HttpClient client = HttpClient.newBuilder()
+            .executor(executor)
+            .version(HttpClient.Version.HTTP_1_1)
+            .build();
+    final History history = new History();
+    final StateStandIn state = new StateStandIn(executor);
+    final CloudStandIn cloud = new CloudStandIn(executor);
+    final List<WorkerStandIn> workers = new ArrayList<>();
+    final List<ControllerProcess> controllers = new ArrayList<>();
+    private final Map<String, Job> jobs = new ConcurrentHashMap<>();
+
+    Cluster(Path dir, int workerCount) throws IOException {
+        Map<String, String> addresses = new LinkedHashMap<>();
+        Map<String, String> backAddresses = new LinkedHashMap<>();
+        List<ServerSocket> reserved = new ArrayList<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            addresses.put("node-" + i, reserve(reserved));
+            backAddresses.put("node-" + i, reserve(reserved));
+        }
+        for (ServerSocket socket : reserved) {
+            socket.close();
+        }
+        Path tuning = Files.writeString(dir.resolve("tuning.yaml"), "recovery-hold-s: 60\n");
+        for (String node : addresses.keySet()) {
+            Path config = Files.writeString(dir.resolve(node + ".toml"), settings(node, addresses, backAddresses));
+            controllers.add(new ControllerProcess(
+                    addresses.get(node), backAddresses.get(node), client, config, tuning, dir.resolve(node + ".log")));
+        }
+        WorkerStandIn.Deployment deployment = new WorkerStandIn.Deployment(REPORT_MILLIS, LEASE_MILLIS, addresses);
+        for (int i = 0; i < workerCount; i++) {
+            WorkerStandIn worker = new WorkerStandIn(
+                    String.format("i-%06d", i + 1), executor, client, deployment, this::runMillis, history);
+            workers.add(worker);
+            cloud.add(worker);
+        }
+    }
+
+    private static String reserve(List<ServerSocket> reserved) throws IOException {
+        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        reserved.add(socket);
+        return "127.0.0.1:" + socket.getLocalPort();
+    }
+
+    private String settings(String node, Map<String, String> addresses, Map<String, String> backAddresses) {
+        StringBuilder text = new StringBuilder("""
+                node_name = "%s"
+                site = "elsewhere"
+                serve_on = "%s"
+                back = "%s"
+                """.formatted(node, addresses.get(node), backAddresses.get(node)));
+        for (String other : addresses.keySet()) {
+            if (!other.equals(node)) {
+                text.append("[[others]]\nnode_name = \"%s\"\nsite = \"elsewhere\"\naddr = \"%s\"\n"
+                        .formatted(other, backAddresses.get(other)));
+            }
+        }
+        return text.append("""
+                [services]
+                cloud = "%s"
+                state = "%s"
+                [facts]
+                zones = ["%s"]
+                skew_ms = 1.0
+                [[facts.teams]]
+                name = "team"
+                cpus = 0.0
+                [facts.workers]
+                report_s = %s
+                lease_s = %s
+                cancel_s = 60.0
+                [facts.state]
+                rps = 1000.0
+                write_rps = 500.0
+                value_kb = 8.0
+                txn_ops = 8
+                [facts.cloud]
+                rps = 5.0
+                list_lag_s = 1.0
+                """.formatted(
+                        cloud.address(), state.address(), CloudStandIn.ZONE, REPORT_MILLIS / 1e3, LEASE_MILLIS / 1e3))
+                .toString();
+    }
+
+    private long runMillis(String job) {
+        Job known = jobs.get(job);
+        return known == null || known.service() ? -1 : known.runMillis();
+    }
+
+    void startControllers() throws IOException {
+        for (ControllerProcess controller : controllers) {
+            controller.start();
+        }
+    }
+
+    void killControllers() throws InterruptedException {
+        for (ControllerProcess controller : controllers) {
+            controller.kill();
+        }
+    }
+
+    void startWorkers() {
+        workers.forEach(WorkerStandIn::start);
+    }
+
+    boolean isService(String job) {
+        return jobs.get(job).service();
+    }
+
+    /** Submits a job, at one controller after the other until one has accepted it. */
+    void submit(Job job) throws InterruptedException {
+        jobs.put(job.id(), job);
+        String body = job.submission();
+        for (int i = 0; ; i++) {
+            int status = controllers
+                    .get(i % controllers.size())
+                    .post("/submissions", body)
+                    .status();
+            if (status == 200 || status == 201) {
+                return;
+            }
+            if (status == 400 || status == 422) {
+                throw new IllegalStateException("submission refused: " + status);
+            }
+            Thread.sleep(200);
+        }
+    }
+
+    /** Whether some controller tells the user that this job is done. */
+    boolean isDone(String job) throws InterruptedException {
+        for (ControllerProcess controller : controllers) {
+            Reply reply = controller.get("/submissions/" + job);
+            if (reply.status() == 200) {
+                return "done".equals(reply.body().get("status"));
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public void close() {
+        controllers.forEach(ControllerProcess::close);
+        workers.forEach(WorkerStandIn::close);
+        cloud.close();
+        state.close();
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/ColdRestartIT.java
@@ -0,0 +1,156 @@
+package org.granitepath.loopback;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.granitepath.loopback.History.Event;
+import org.granitepath.loopback.History.Kind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Three controllers from the packaged jar and forty stand-in workers, over real sockets. All controllers end at once
+ * while services run and batch work is half done, and start again. What is asserted is order and counts; times only
+ * bound how long the test waits before it gives up.
+ */
+class ColdRestartIT {
+    private static final int WORKERS = 40;
+    private static final int SERVICES = 10;
+    private static final int REPLICAS = 4;
+    private static final int BATCH_JOBS = 4;
+    private static final int BATCH_TASKS = 80;
+    private static final long BATCH_MILLIS = 3_000;
+    private static final long GIVE_UP_MILLIS = 150_000;
+    /** Workers whose replicas end while no controller is there. */
+    private static final int WORKERS_THAT_LOSE_REPLICAS = 15;
+
+    private interface Condition {
+        boolean holds() throws InterruptedException;
+    }
+
+    private static void await(String what, Condition condition) throws InterruptedException {
+        long end = System.nanoTime() + GIVE_UP_MILLIS * 1_000_000;
+        while (!condition.holds()) {
+            if (System.nanoTime() - end > 0) {
+                fail("gave up waiting: " + what);
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private static String jobId(int number) {
+        return String.format("run-%06d", number);
+    }
+
+    private static List<String> batchJobs() {
+        return Stream.iterate(SERVICES, number -> number + 1)
+                .limit(BATCH_JOBS)
+                .map(ColdRestartIT::jobId)
+                .toList();
+    }
+
+    /** All services run, and of the batch work about a third is done. */
+    private static void bringUp(Cluster cluster) throws Exception {
+        cluster.startControllers();
+        cluster.startWorkers();
+        for (int i = 0; i < SERVICES; i++) {
+            cluster.submit(new Cluster.Job(jobId(i), true, REPLICAS, 1, 0));
+        }
+        for (String job : batchJobs()) {
+            cluster.submit(new Cluster.Job(job, false, BATCH_TASKS, 2, BATCH_MILLIS));
+        }
+        await("all services run", () -> cluster.history.running(cluster::isService) == SERVICES * REPLICAS);
+        int third = BATCH_JOBS * BATCH_TASKS / 3;
+        await("a third of the batch work is done", () -> cluster.history.completed(j -> !cluster.isService(j)) > third);
+    }
+
+    private static void loseReplicas(Cluster cluster) {
+        cluster.workers.stream()
+                .limit(WORKERS_THAT_LOSE_REPLICAS)
+                .forEach(worker -> worker.endTasks(cluster::isService));
+    }
+
+    private static void awaitRecovered(Cluster cluster) throws InterruptedException {
+        await("one controller leads and has recovered", () -> {
+            int leading = 0;
+            for (ControllerProcess controller : cluster.controllers) {
+                var status = controller.recovery().body();
+                leading += "leading".equals(status.get("role")) && "recovered".equals(status.get("phase")) ? 1 : 0;
+            }
+            return leading == 1;
+        });
+    }
+
+    private static void awaitAllWorkDone(Cluster cluster) throws InterruptedException {
+        await("all services run again", () -> cluster.history.running(cluster::isService) == SERVICES * REPLICAS);
+        for (String job : batchJobs()) {
+            await(job + " is done", () -> cluster.isDone(job));
+        }
+    }
+
+    /** The first orders to resume services come before the first order to start batch work. */
+    private static void assertServicesFirst(Cluster cluster, List<Event> events) {
+        Set<String> lost = new HashSet<>();
+        List<String> ordered = new ArrayList<>();
+        int firstBatch = -1;
+        for (Event event : events) {
+            if (event.kind() == Kind.LEFT && cluster.isService(event.job())) {
+                lost.add(event.task());
+            } else if (event.kind() == Kind.ORDERED && cluster.isService(event.job())) {
+                ordered.add(event.task());
+            } else if (event.kind() == Kind.ORDERED && firstBatch < 0) {
+                firstBatch = ordered.size();
+            }
+        }
+        assertTrue(lost.size() > 0, "no replica was lost");
+        assertTrue(firstBatch >= 0, "no batch work was left to start");
+        assertEquals(lost, new HashSet<>(ordered.subList(0, firstBatch)), "replicas ordered before any batch task");
+    }
+
+    @Test
+    void allControllersEndAtOnce(@TempDir Path dir) throws Exception {
+        java.nio.file.Files.createDirectories(dir);
+        try (Cluster cluster = new Cluster(dir, WORKERS)) {
+            bringUp(cluster);
+            cluster.killControllers();
+            int restart = cluster.history.position();
+            loseReplicas(cluster);
+            cluster.startControllers();
+            awaitAllWorkDone(cluster);
+            awaitRecovered(cluster);
+            assertServicesFirst(cluster, cluster.history.since(restart));
+            assertEquals(List.of(), cluster.history.violations());
+        }
+    }
+
+    /** The state service is away when they come back, and all end once more in the middle of the recovery. */
+    @Test
+    void allEndOnceMoreWhileTheyRecover(@TempDir Path dir) throws Exception {
+        try (Cluster cluster = new Cluster(dir, WORKERS)) {
+            bringUp(cluster);
+            cluster.killControllers();
+            cluster.state.setAway(true);
+            int restart = cluster.history.position();
+            loseReplicas(cluster);
+            cluster.startControllers();
+            Thread.sleep(1_000);
+            cluster.state.setAway(false);
+            await(
+                    "an order of the new leader",
+                    () -> cluster.history.since(restart).stream().anyMatch(event -> event.kind() == Kind.ORDERED));
+            cluster.killControllers();
+            cluster.startControllers();
+            awaitAllWorkDone(cluster);
+            awaitRecovered(cluster);
+            assertServicesFirst(cluster, cluster.history.since(restart));
+            assertEquals(List.of(), cluster.history.violations());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/ControllerProcess.java
@@ -0,0 +1,103 @@
+package org.granitepath.loopback;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.granitepath.protocol.Json;
+
+/** A controller in a process of its own, from the packaged jar. */
+final class ControllerProcess implements AutoCloseable {
+    private static final Path JAR = Path.of("target", "granitepath.jar");
+    private static final Duration PATIENCE = Duration.ofSeconds(6);
+
+    /** An answer of a controller; status 0: none came. */
+    record Reply(int status, Map<String, Object> body) {}
+
+    private final String address;
+    private final String backAddress;
+    private final HttpClient client;
+    private final Path config;
+    private final Path tuning;
+    private final Path log;
+    private Process process;
+
+    ControllerProcess(String address, String backAddress, HttpClient client, Path config, Path tuning, Path log) {
+        this.address = address;
+        this.backAddress = backAddress;
+        this.client = client;
+        this.config = config;
+        this.tuning = tuning;
+        this.log = log;
+    }
+
+    void start() throws IOException {
+        if (!Files.exists(JAR)) {
+            throw new IOException(JAR + " is missing: the test runs after packaging");
+        }
+        process = new ProcessBuilder(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx64m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-jar",
+                        JAR.toString(),
+                        "serve",
+                        "--live-first",
+                        "--tuning",
+                        tuning.toString(),
+                        "--config",
+                        config.toString()))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    /** Ends it without a warning, and waits until it is gone. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly().onExit().join();
+        }
+    }
+
+    Reply get(String path) throws InterruptedException {
+        return ask(
+                HttpRequest.newBuilder(URI.create("http://" + address + path)).GET());
+    }
+
+    Reply post(String path, String body) throws InterruptedException {
+        return ask(HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    Reply recovery() throws InterruptedException {
+        return ask(HttpRequest.newBuilder(URI.create("http://" + backAddress + "/recovery"))
+                .GET());
+    }
+
+    private Reply ask(HttpRequest.Builder request) throws InterruptedException {
+        try {
+            HttpResponse<String> response =
+                    client.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
+            return new Reply(response.statusCode(), Json.object(response.body()));
+        } catch (IOException e) {
+            return new Reply(0, Map.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/History.java
@@ -0,0 +1,93 @@
+package org.granitepath.loopback;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/** What happened on all machines, in one order, and what of it must not happen. */
+final class History {
+    /** What happened to a task. */
+    enum Kind {
+        ORDERED,
+        BEGUN,
+        COMPLETED,
+        LEFT
+    }
+
+    /** One event. */
+    record Event(Kind kind, String host, String task, long attempt) {
+        String job() {
+            return task.substring(0, task.lastIndexOf('/'));
+        }
+    }
+
+    private record Order(String host, long session, String task, long attempt) {}
+
+    private final List<Event> events = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private final Set<Order> orders = new HashSet<>();
+    private final Map<String, String> on = new HashMap<>();
+    private final Set<String> completed = new HashSet<>();
+
+    /** A worker takes a start in: at most once for each attempt in a session. */
+    synchronized void ordered(String host, long session, String task, long attempt) {
+        if (!orders.add(new Order(host, session, task, attempt))) {
+            violations.add("ordered twice: " + task + " attempt " + attempt + " on " + host);
+        }
+        add(new Event(Kind.ORDERED, host, task, attempt));
+    }
+
+    synchronized void begun(String host, String task, long attempt) {
+        String other = on.put(task, host);
+        if (other != null) {
+            violations.add("runs twice: " + task + " on " + other + " and " + host);
+        }
+        add(new Event(Kind.BEGUN, host, task, attempt));
+    }
+
+    synchronized void left(String host, String task, long attempt, boolean done) {
+        on.remove(task, host);
+        if (done) {
+            completed.add(task);
+        }
+        add(new Event(done ? Kind.COMPLETED : Kind.LEFT, host, task, attempt));
+    }
+
+    private void add(Event event) {
+        events.add(event);
+        notifyAll();
+    }
+
+    /** Where the history stands. */
+    synchronized int position() {
+        return events.size();
+    }
+
+    synchronized List<Event> since(int position) {
+        return List.copyOf(events.subList(position, events.size()));
+    }
+
+    synchronized List<String> violations() {
+        return List.copyOf(violations);
+    }
+
+    synchronized boolean wasCompleted(String task) {
+        return completed.contains(task);
+    }
+
+    synchronized long running(Predicate<String> jobs) {
+        return on.keySet().stream()
+                .filter(task -> jobs.test(task.substring(0, task.lastIndexOf('/'))))
+                .count();
+    }
+
+    synchronized long completed(Predicate<String> jobs) {
+        return completed.stream()
+                .filter(task -> jobs.test(task.substring(0, task.lastIndexOf('/'))))
+                .count();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/StateStandIn.java
@@ -0,0 +1,186 @@
+package org.granitepath.loopback;
+
+import com.google.common.base.Splitter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import org.granitepath.bookkeeping.Fields;
+
+/** A stand-in for the state service: guarded transactions, leases that run out, long polls. Limits are not played. */
+final class StateStandIn extends HttpStandIn {
+    private record Stored(Object value, long stamp, long lease) {}
+
+    private record Change(String key, Object value, long stamp) {}
+
+    private static final class Lease {
+        final long lifeNanos;
+        long endNanos;
+
+        Lease(long lifeNanos) {
+            this.lifeNanos = lifeNanos;
+        }
+
+        void touch() {
+            endNanos = System.nanoTime() + lifeNanos;
+        }
+    }
+
+    private final TreeMap<String, Stored> keys = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private long epoch;
+    private long leaseCount;
+    private boolean away;
+
+    StateStandIn(Executor executor) {
+        super(executor);
+        listen();
+    }
+
+    /** While away, all that is asked is refused, and no lease ends. */
+    synchronized void setAway(boolean nowAway) {
+        if (away && !nowAway) {
+            leases.values().forEach(Lease::touch);
+        }
+        away = nowAway;
+        notifyAll();
+    }
+
+    @Override
+    synchronized Answer answer(String method, String path, Map<String, String> query, Map<String, Object> body) {
+        if (away) {
+            return Answer.error(503, "outage");
+        }
+        expire();
+        if (path.equals("/keys")) {
+            return list(query);
+        } else if (path.equals("/commit")) {
+            return commit(body);
+        } else if (path.equals("/follow")) {
+            return follow(query);
+        } else if (path.equals("/leases")) {
+            Lease lease = new Lease(Fields.longOf(body, "life_ms", 0) * 1_000_000);
+            lease.touch();
+            leases.put(++leaseCount, lease);
+            return Answer.ok(Map.of("permit", leaseCount));
+        } else if (path.startsWith("/leases/")) {
+            Lease lease =
+                    leases.get(Long.parseLong(Splitter.on('/').splitToList(path).get(2)));
+            if (lease == null) {
+                return Answer.error(404, "no such lease");
+            }
+            lease.touch();
+            return Answer.ok(Map.of());
+        }
+        return Answer.error(400, "unknown request");
+    }
+
+    private void expire() {
+        long now = System.nanoTime();
+        leases.values().removeIf(lease -> lease.endNanos - now < 0);
+        for (String key : List.copyOf(keys.keySet())) {
+            long lease = keys.get(key).lease();
+            if (lease != 0 && !leases.containsKey(lease)) {
+                apply(key, null, 0, ++epoch);
+            }
+        }
+    }
+
+    private void apply(String key, Object value, long lease, long stamp) {
+        if (value == null) {
+            keys.remove(key);
+        } else {
+            keys.put(key, new Stored(value, stamp, lease));
+        }
+        changes.add(new Change(key, value, stamp));
+        notifyAll();
+    }
+
+    private Answer list(Map<String, String> query) {
+        String prefix = query.get("prefix");
+        String from = query.getOrDefault("from", "");
+        int most = Math.min(1_000, Integer.parseInt(query.getOrDefault("most", "1000")));
+        List<Object> items = new ArrayList<>();
+        boolean more = false;
+        for (var entry :
+                keys.tailMap(from.isEmpty() ? prefix : from, from.isEmpty()).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (items.size() == most) {
+                more = true;
+                break;
+            }
+            Stored stored = entry.getValue();
+            items.add(Map.of("key", entry.getKey(), "v", stored.value(), "stamp", stored.stamp()));
+        }
+        return Answer.ok(Map.of("items", items, "has_next", more, "epoch", epoch));
+    }
+
+    @SuppressWarnings("unchecked")
+    private Answer commit(Map<String, Object> body) {
+        List<String> failed = new ArrayList<>();
+        for (Object each : Fields.listOf(body, "guards")) {
+            Map<String, Object> guard = (Map<String, Object>) each;
+            Stored stored = keys.get(Fields.textOf(guard, "key"));
+            if ((stored == null ? 0 : stored.stamp()) != Fields.longOf(guard, "stamp", 0)) {
+                failed.add(Fields.textOf(guard, "key"));
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new Answer(409, Map.of("failed", failed, "epoch", epoch));
+        }
+        List<?> apply = Fields.listOf(body, "apply");
+        for (Object each : apply) {
+            long lease = Fields.longOf((Map<String, Object>) each, "permit", 0);
+            if (lease != 0 && !leases.containsKey(lease)) {
+                return Answer.error(400, "no such lease");
+            }
+        }
+        epoch += apply.isEmpty() ? 0 : 1;
+        for (Object each : apply) {
+            Map<String, Object> change = (Map<String, Object>) each;
+            String written = Fields.textOf(change, "write");
+            if (written != null) {
+                apply(written, change.get("v"), Fields.longOf(change, "permit", 0), epoch);
+            } else {
+                apply(Fields.textOf(change, "remove"), null, 0, epoch);
+            }
+        }
+        return Answer.ok(Map.of("epoch", epoch));
+    }
+
+    private Answer follow(Map<String, String> query) {
+        String prefix = query.get("prefix");
+        long from = Long.parseLong(query.get("from"));
+        long end = System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
+        List<Object> events = eventsSince(prefix, from);
+        try {
+            // Leases end while nothing else happens: the wait is short and repeated.
+            while (events.isEmpty() && !away && System.nanoTime() - end < 0) {
+                wait(50);
+                expire();
+                events = eventsSince(prefix, from);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return away ? Answer.error(503, "outage") : Answer.ok(Map.of("epoch", epoch, "events", events));
+    }
+
+    private List<Object> eventsSince(String prefix, long from) {
+        List<Object> events = new ArrayList<>();
+        for (Change change : changes) {
+            if (change.stamp() > from && change.key().startsWith(prefix)) {
+                events.add(
+                        change.value() == null
+                                ? Map.of("remove", change.key(), "stamp", change.stamp())
+                                : Map.of("write", change.key(), "v", change.value(), "stamp", change.stamp()));
+            }
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/WorkerStandIn.java
@@ -0,0 +1,304 @@
+package org.granitepath.loopback;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.function.Predicate;
+import org.granitepath.bookkeeping.Fields;
+import org.granitepath.protocol.Json;
+
+/**
+ * A stand-in for a machine's worker over real sockets: reports, sessions, leases, fencing tokens and commands as the
+ * protocol has them. Images are there at once, and nothing is saved.
+ */
+final class WorkerStandIn extends HttpStandIn {
+    /** How long tasks of a job run; negative: until they are stopped. */
+    interface RunTimes {
+        long millisOf(String job);
+    }
+
+    /** The times of the workers, and the controllers they know by name. */
+    record Deployment(long reportMillis, long leaseMillis, Map<String, String> controllers) {}
+
+    private record Key(String task, long attempt) {}
+
+    private static final class Run {
+        String status = "running";
+        String cause;
+        long endNanos;
+    }
+
+    private static final long LEAST_SPACING_MILLIS = 500;
+    /** How often it looks whether a task has ended. */
+    private static final long LOOK_MILLIS = 100;
+
+    private static final long NEXT_NODE_MILLIS = 1_000;
+    private static final Duration PATIENCE = Duration.ofSeconds(4);
+
+    private final String id;
+    private final Deployment deployment;
+    private final RunTimes runTimes;
+    private final History history;
+    private final HttpClient client;
+    private final Thread reporter;
+    private final Map<Key, Run> runs = new LinkedHashMap<>();
+    private long session = 1;
+    private long sequence;
+    private long fencingToken;
+    private long leaseFromNanos = System.nanoTime();
+    private boolean changed;
+    private boolean closed;
+
+    WorkerStandIn(
+            String id,
+            Executor executor,
+            HttpClient client,
+            Deployment deployment,
+            RunTimes runTimes,
+            History history) {
+        super(executor);
+        this.id = id;
+        this.client = client;
+        this.deployment = deployment;
+        this.runTimes = runTimes;
+        this.history = history;
+        this.reporter = new Thread(this::report, "worker " + id);
+        listen();
+    }
+
+    void start() {
+        reporter.setDaemon(true);
+        reporter.start();
+    }
+
+    String id() {
+        return id;
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            killAll();
+        }
+        reporter.interrupt();
+        super.close();
+    }
+
+    /** Tasks of such jobs end here, stopped by nobody who is there any more. */
+    synchronized void endTasks(Predicate<String> jobs) {
+        runs.forEach((key, run) -> {
+            if (run.cause == null && jobs.test(job(key.task()))) {
+                exit(key, run, "stopped");
+            }
+        });
+    }
+
+    private static String job(String task) {
+        return task.substring(0, task.lastIndexOf('/'));
+    }
+
+    // ---- reports -----------------------------------------------------------------------------------------------
+
+    private void report() {
+        List<String> names = List.copyOf(deployment.controllers().keySet());
+        int at = Math.floorMod(id.hashCode(), names.size());
+        try {
+            while (true) {
+                String named = reportTo(names.get(at));
+                if (named != null && names.get(at).equals(named)) {
+                    await();
+                } else if (named != null && names.contains(named)) {
+                    at = names.indexOf(named);
+                } else {
+                    at = (at + 1) % names.size();
+                    Thread.sleep(NEXT_NODE_MILLIS);
+                }
+            }
+        } catch (InterruptedException e) {
+            // closed
+        }
+    }
+
+    /** Until the next report is due, or something has changed, but not at once. */
+    private synchronized void await() throws InterruptedException {
+        long now = System.nanoTime();
+        long earliest = now + LEAST_SPACING_MILLIS * 1_000_000;
+        long due = now + deployment.reportMillis() * 1_000_000;
+        while (System.nanoTime() - (changed ? earliest : due) < 0) {
+            wait(LOOK_MILLIS);
+            advance();
+        }
+    }
+
+    /** The controller to report to next: this one, one it names, or null when it had no answer for us. */
+    private String reportTo(String node) throws InterruptedException {
+        long sent = System.nanoTime();
+        long ofSession;
+        String body;
+        synchronized (this) {
+            advance();
+            changed = false;
+            ofSession = session;
+            body = Json.text(heartbeat());
+        }
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + deployment.controllers().get(node) + "/agent/beat"))
+                .timeout(PATIENCE)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            Map<String, Object> answer = Json.object(response.body());
+            if (response.statusCode() == 200 && answer != null) {
+                accept(answer, ofSession, sent);
+                return node;
+            }
+            return response.statusCode() == 421 && answer != null ? Fields.textOf(answer, "supervisor") : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private synchronized void accept(Map<String, Object> answer, long ofSession, long sentNanos) {
+        advance();
+        long token = Fields.longOf(answer, "baton", 0);
+        if (closed || ofSession != session || token < fencingToken) {
+            return;
+        }
+        raise(token);
+        leaseFromNanos = Math.max(leaseFromNanos, sentNanos);
+        execute(Fields.listOf(answer, "orders"));
+    }
+
+    private void raise(long token) {
+        changed |= token > fencingToken;
+        fencingToken = token;
+    }
+
+    private Map<String, Object> heartbeat() {
+        List<Object> tasks = new ArrayList<>();
+        runs.forEach((key, run) -> {
+            Map<String, Object> task = new LinkedHashMap<>();
+            task.put("piece", key.task());
+            task.put("try", key.attempt());
+            task.put("status", run.status);
+            if (run.cause != null) {
+                task.put("cause", run.cause);
+            }
+            tasks.add(task);
+        });
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("host", id);
+        report.put("address", address());
+        report.put("model", CloudStandIn.TYPE);
+        report.put("site", CloudStandIn.ZONE);
+        report.put("loaner", false);
+        report.put("shift", session);
+        report.put("tally", ++sequence);
+        report.put("baton", fencingToken);
+        report.put("pieces", tasks);
+        return report;
+    }
+
+    // ---- tasks -------------------------------------------------------------------------------------------------
+
+    /** What the time that has passed brings: the end of the lease, and of tasks. */
+    private void advance() {
+        long now = System.nanoTime();
+        if (now - leaseFromNanos > deployment.leaseMillis() * 1_000_000) {
+            killAll();
+            session++;
+            leaseFromNanos = now;
+            changed = true;
+        }
+        runs.forEach((key, run) -> {
+            if (run.cause == null && run.endNanos != 0 && now - run.endNanos > 0) {
+                exit(key, run, "done");
+            }
+        });
+    }
+
+    private void killAll() {
+        runs.forEach((key, run) -> {
+            if (run.cause == null) {
+                history.left(id, key.task(), key.attempt(), false);
+            }
+        });
+        runs.clear();
+    }
+
+    private void exit(Key key, Run run, String cause) {
+        run.status = "ended";
+        run.cause = cause;
+        changed = true;
+        history.left(id, key.task(), key.attempt(), cause.equals("done"));
+    }
+
+    @SuppressWarnings("unchecked")
+    private void execute(List<?> commands) {
+        for (Object each : commands) {
+            Map<String, Object> command = (Map<String, Object>) each;
+            Key key = new Key(Fields.textOf(command, "piece"), Fields.longOf(command, "try", 0));
+            Run run = runs.get(key);
+            switch (Fields.textOf(command, "verb")) {
+                case "start" -> start(key, run);
+                case "halt" -> {
+                    if (run != null && run.cause == null) {
+                        exit(key, run, "stopped");
+                    }
+                }
+                default -> {
+                    if (run != null && run.cause != null) {
+                        runs.remove(key);
+                    }
+                }
+            }
+        }
+    }
+
+    private void start(Key key, Run known) {
+        history.ordered(id, session, key.task(), key.attempt());
+        if (known != null) {
+            return;
+        }
+        Run run = new Run();
+        boolean inUse = runs.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().task().equals(key.task()) && entry.getValue().cause == null);
+        runs.put(key, run);
+        changed = true;
+        if (inUse) {
+            run.status = "ended";
+            run.cause = "in_use";
+            return;
+        }
+        history.begun(id, key.task(), key.attempt());
+        long millis = history.wasCompleted(key.task()) ? 0 : runTimes.millisOf(job(key.task()));
+        run.endNanos = millis < 0 ? 0 : System.nanoTime() + millis * 1_000_000;
+    }
+
+    // ---- direct commands ---------------------------------------------------------------------------------------
+
+    @Override
+    synchronized Answer answer(String method, String path, Map<String, String> query, Map<String, Object> body) {
+        advance();
+        if (closed || !path.equals("/orders")) {
+            return Answer.ok(heartbeat());
+        }
+        long token = Fields.longOf(body, "baton", 0);
+        boolean holds = token >= fencingToken && Fields.longOf(body, "shift", 0) == session;
+        if (holds) {
+            raise(token);
+            execute(Fields.listOf(body, "orders"));
+        }
+        return new Answer(holds ? 200 : 409, heartbeat());
+    }
+}
