--- a/src/main/java/org/granitepath/coordination/RecoveryReport.java
+++ b/src/main/java/org/granitepath/coordination/RecoveryReport.java
@@ -65,6 +65,7 @@
                 0,
                 replica.malformedRecords(),
                 Map.of(),
+                0,
                 "the records",
                 -1);
     }
@@ -97,6 +98,7 @@
                 plan.unreadableInventoryParts(),
                 replica.malformedRecords(),
                 tasks,
+                plan.comparisons(),
                 held ? plan.waitingFor() : null,
                 held ? Math.max(0, plan.holdEndsMicros() - nowMicros) : 0);
     }
--- a/src/main/java/org/granitepath/protocol/RecoveryStatusCodec.java
+++ b/src/main/java/org/granitepath/protocol/RecoveryStatusCodec.java
@@ -44,6 +44,7 @@
         Map<String, Object> tasks = new LinkedHashMap<>();
         status.tasks().forEach((verdict, count) -> tasks.put(lower(verdict), count));
         fields.put("tasks", tasks);
+        fields.put("attempts_compared", status.comparisons());
         fields.put("other_work_held", status.batchWaitsFor() != null);
         if (status.batchWaitsFor() != null) {
             fields.put("held_for", status.batchWaitsFor());
--- a/src/main/java/org/granitepath/recovery/RecoveryStatus.java
+++ b/src/main/java/org/granitepath/recovery/RecoveryStatus.java
@@ -9,6 +9,7 @@
  * @param leader the leader that this controller knows of, or null
  * @param reason why the role is what it is
  * @param missing some of the machines not heard yet, by name
+ * @param comparisons how many attempts were compared with the records so far
  * @param batchWaitsFor what work that does not go first is held for, or null
  * @param batchHeldMicros for how much longer it is held, at most
  * @param recordsAgeMicros how old the word is by which this controller knows the records; negative: never
@@ -28,6 +29,7 @@
         int unreadableInventoryParts,
         long unreadableRecords,
         Map<Verdict, Integer> tasks,
+        long comparisons,
         String batchWaitsFor,
         long batchHeldMicros) {
 
@@ -61,6 +63,7 @@
                 0,
                 unreadableRecords,
                 Map.of(),
+                0,
                 null,
                 0);
     }
--- a/src/test/java/org/granitepath/simulation/FleetTest.java
+++ b/src/test/java/org/granitepath/simulation/FleetTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import org.granitepath.bookkeeping.JobSpec;
 import org.granitepath.bookkeeping.Priority;
+import org.granitepath.recovery.RecoveryPhase;
+import org.granitepath.recovery.RecoveryStatus;
 import org.junit.jupiter.api.Test;
 
 /** The largest fleets: the rules throughout, and what is asked of others as counts. */
@@ -35,6 +37,36 @@
                 700);
     }
 
+    /**
+     * Four thousand machines and all controllers down at once: each report is compared once, whatever the fleet, and
+     * the state service is asked no more than it allows.
+     */
+    @Test
+    void fourThousandMachinesAfterAColdRestart() {
+        Simulation s = RecoveryLoad.fleet(3, RecoveryLoad.Size.LARGE);
+        int[] running = new int[1];
+        int[] refusals = new int[1];
+        s.world.after(RecoveryLoad.RESTART, () -> {
+            running[0] = (int) s.rules.tasksUp();
+            refusals[0] = s.state.refusals;
+            s.crashAll(SECOND);
+        });
+        s.run(RecoveryLoad.RESTART + 30 * SECOND);
+        RecoveryStatus status = s.recovery();
+        assertEquals(RecoveryPhase.RECOVERED, status.phase());
+        assertTrue(status.machinesTakenOver() >= 4_000, status.machinesTakenOver() + " machines");
+        assertTrue(running[0] >= 10_000, running[0] + " tasks");
+        // Some eight reports of each machine in that time, each listing what runs there.
+        assertTrue(
+                status.comparisons() < 12L * running[0],
+                status.comparisons() + " comparisons of " + running[0] + " tasks");
+        assertTrue(s.state.refusals - refusals[0] < 150, (s.state.refusals - refusals[0]) + " requests came too fast");
+        assertTrue(s.mostCalls <= s.shape.connections() / 6, s.mostCalls + " calls to machines at once");
+        assertEquals(0, s.state.oversized, "a transaction or a value over its limit");
+        s.run(RecoveryLoad.RESTART + 90 * SECOND);
+        assertEquals(List.of(), s.rules.broken.stream().distinct().limit(5).toList());
+    }
+
     /** A leader that stands still, a zone cut off with a crash in it, and all controllers down at once. */
     private static void day(Simulation s, int machines) {
         List<JobSpec> services = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/RecoveryMeasurement.java
@@ -0,0 +1,113 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.granitepath.coordination.Heartbeat.Cause;
+import org.granitepath.recovery.RecoveryStatus;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * What a cold restart costs, with and without the hold, on the same seeds. Simulated time; not part of the build, since
+ * its name is no test's: {@code mvn -B test -Dtest=RecoveryMeasurement}.
+ */
+class RecoveryMeasurement {
+    private static final long SECOND = Simulation.SECOND;
+    private static final int PAIRS = 5;
+    /** By default a quarter of the lease of {@link RecoveryLoad}. */
+    private static final long HOLD = 27 * SECOND / 4;
+
+    private record Figures(
+            double firstLive, double lastLive, double firstBatch, double lastVerdict, int requests, int writes) {}
+
+    @ParameterizedTest
+    @EnumSource(RecoveryLoad.Size.class)
+    void coldRestart(RecoveryLoad.Size size) {
+        for (long hold : new long[] {0, HOLD}) {
+            List<Figures> all = new ArrayList<>();
+            for (long seed = 1; seed <= PAIRS; seed++) {
+                all.add(measure(seed, size, hold));
+            }
+            System.out.printf(
+                    Locale.ROOT,
+                    "%d machines, hold %.2f s, median (least to most) of %d: first live order %s, last live order %s,"
+                            + " first batch order %s, last verdict %s; in 30 s %s requests, %s changes%n",
+                    size.machines,
+                    hold / 1e6,
+                    PAIRS,
+                    spread(all.stream().map(Figures::firstLive).toList()),
+                    spread(all.stream().map(Figures::lastLive).toList()),
+                    spread(all.stream().map(Figures::firstBatch).toList()),
+                    spread(all.stream().map(Figures::lastVerdict).toList()),
+                    spread(all.stream()
+                            .map(figures -> (double) figures.requests())
+                            .toList()),
+                    spread(all.stream()
+                            .map(figures -> (double) figures.writes())
+                            .toList()));
+        }
+    }
+
+    private static String spread(List<Double> values) {
+        List<Double> sorted = values.stream().sorted().toList();
+        return String.format(
+                Locale.ROOT,
+                "%.2f (%.2f to %.2f)",
+                sorted.get(sorted.size() / 2),
+                sorted.get(0),
+                sorted.get(sorted.size() - 1));
+    }
+
+    /** A tenth of the replicas' machines lose them while nobody leads, and one machine in a hundred dies. */
+    private static Figures measure(long seed, RecoveryLoad.Size size, long hold) {
+        Simulation s = RecoveryLoad.fleet(seed, size);
+        s.recoveryHold = hold;
+        int[] before = new int[2];
+        s.world.after(RecoveryLoad.RESTART, () -> {
+            before[0] = s.state.requests;
+            before[1] = s.state.writes;
+            s.crashAll(SECOND);
+            List<SimWorker> workers = s.cloud.workers();
+            for (int i = 0; i < workers.size(); i += 10) {
+                workers.get(i).endTasks(spec -> true, Cause.STOPPED);
+            }
+            for (int i = 5; i < workers.size(); i += 100) {
+                workers.get(i).die();
+            }
+        });
+        long[] lastVerdict = {-1};
+        s.run(RecoveryLoad.RESTART);
+        s.world.run(RecoveryLoad.RESTART + 30 * SECOND, () -> {
+            RecoveryStatus status = s.world.now() % 20 == 0 && lastVerdict[0] < 0 ? s.recovery() : null;
+            if (status != null && status.fencingToken() > 1 && status.machinesMissing() == 0) {
+                lastVerdict[0] = s.world.now();
+            }
+        });
+        int requests = s.state.requests - before[0];
+        int writes = s.state.writes - before[1];
+        s.run(RecoveryLoad.RESTART + 60 * SECOND);
+        List<SimCommands.Start> starts = s.commands.startsSince(RecoveryLoad.RESTART);
+        List<Long> live = times(s, starts, true);
+        List<Long> batch = times(s, starts, false);
+        return new Figures(
+                seconds(live.isEmpty() ? -1 : live.get(0)),
+                seconds(live.isEmpty() ? -1 : live.get(live.size() - 1)),
+                seconds(batch.isEmpty() ? -1 : batch.get(0)),
+                seconds(lastVerdict[0]),
+                requests,
+                writes);
+    }
+
+    private static List<Long> times(Simulation s, List<SimCommands.Start> starts, boolean services) {
+        return starts.stream()
+                .filter(start -> s.describedAs(start.task().job()).service() == services)
+                .map(SimCommands.Start::at)
+                .toList();
+    }
+
+    /** Since the restart; not a number when it did not come. */
+    private static double seconds(long at) {
+        return at < 0 ? Double.NaN : (at - RecoveryLoad.RESTART) / 1e6;
+    }
+}
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -312,6 +312,11 @@
         return accepted.contains(job);
     }
 
+    /** Tasks that are on a machine. */
+    long tasksUp() {
+        return on.size();
+    }
+
     /** Tasks of services that are on a machine. */
     long replicasUp() {
         return on.keySet().stream()
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -67,6 +67,9 @@
     int requests;
 
     int refusals;
+    /** Changes made so far. */
+    int writes;
+
     private final double requestsPerSecond;
     private double writesPerSecond;
     private double requestTokens;
@@ -256,6 +259,7 @@
             }
         }
         epoch++;
+        writes += txn.changes().size();
         for (StatePort.Change c : txn.changes()) {
             writesByKey.merge(c.key(), 1, Integer::sum);
             String json = c.record() == null ? null : Json.text(c.record().toMap());
