--- a/src/test/java/org/granitepath/simulation/CancellationFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CancellationFaultsTest.java
@@ -26,10 +26,11 @@
     void cancelledAtTheEnd(long seed) {
         Simulation s = withJobs(simulation(seed), 40, 60 * SECOND);
         s.cancelledAtEnd = 0.6;
-        s.oddRequests(100 * SECOND);
+        s.users.oddRequests(100 * SECOND);
         s.run(100 * SECOND, 400 * SECOND);
-        assertTrue(s.doneTold > 2 && s.rules.cancellationsTold() > 2);
-        assertTrue(s.unschedulableRefused > 20, s.unschedulableRefused + " jobs that can't run were refused");
+        assertTrue(s.users.doneTold > 2 && s.rules.cancellationsTold() > 2);
+        assertTrue(
+                s.users.unschedulableRefused > 20, s.users.unschedulableRefused + " jobs that can't run were refused");
         assertRulesAndAllDone(s);
     }
 
@@ -47,11 +48,11 @@
             String zone = s.zoneOf(s.leader()).equals("south") ? "north" : "south";
             s.cloud.workers().stream()
                     .filter(w -> w.zone.equals(zone))
-                    .forEach(w -> s.cut(s.leader(), w.id, World.Cut.DROP, 60 * SECOND));
-            s.cancelRunning(10, 0);
+                    .forEach(w -> s.faults.cut(s.leader(), w.id, World.Cut.DROP, 60 * SECOND));
+            s.users.cancelRunning(10, 0);
             s.world.after(6 * SECOND, () -> {
                 told[0] = s.rules.cancellationsTold();
-                s.cutZone(zone, World.Cut.DROP, 50 * SECOND);
+                s.faults.cutZone(zone, World.Cut.DROP, 50 * SECOND);
             });
         });
         s.run(125 * SECOND, 900 * SECOND);
@@ -71,13 +72,13 @@
         int[] told = new int[1];
         s.world.after(60 * SECOND, () -> {
             String former = s.leader();
-            s.cutFromPeersAndState(former, seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 70 * SECOND);
+            s.faults.cutFromPeersAndState(former, seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 70 * SECOND);
             s.world.after(6 * SECOND, () -> {
                 String leader = s.leaderOtherThan(former);
                 assertNotEquals(former, leader);
                 // It can't reach any machine either: only leases can end what the former one keeps alive.
-                others(s, former).forEach(n -> s.cutFromWorkers(n, World.Cut.DROP, 64 * SECOND));
-                jobs.stream().limit(9).forEach(j -> s.cancelAt(leader, j.id()));
+                others(s, former).forEach(n -> s.faults.cutFromWorkers(n, World.Cut.DROP, 64 * SECOND));
+                jobs.stream().limit(9).forEach(j -> s.users.cancelAt(leader, j.id()));
             });
             s.world.after(12 * SECOND, () -> told[0] = s.rules.cancellationsTold());
         });
@@ -101,7 +102,7 @@
             s.state.blindFor(leader, 2 * s.shape.cancel());
             s.world.after(
                     2 * SECOND,
-                    () -> jobs.forEach(j -> s.cancelAt(others(s, leader).get(0), j.id())));
+                    () -> jobs.forEach(j -> s.users.cancelAt(others(s, leader).get(0), j.id())));
         });
         s.run(60 * SECOND + 2 * s.shape.cancel(), 300 * SECOND);
         assertTrue(s.rules.cancellationsTold() >= 10);
@@ -116,9 +117,10 @@
         longWork(s, 6, 8, 200 * SECOND);
         int[] hung = new int[1];
         s.world.after(60 * SECOND, () -> {
-            hung[0] = s.cancelRunning(8, seed < 3 ? 8 * SECOND : s.shape.lease() + 6 * SECOND)
+            hung[0] = s.users
+                    .cancelRunning(8, seed < 3 ? 8 * SECOND : s.shape.lease() + 6 * SECOND)
                     .size();
-            s.world.after(SECOND, () -> s.crash(s.leader(), 300_000));
+            s.world.after(SECOND, () -> s.faults.crash(s.leader(), 300_000));
         });
         s.run(75 * SECOND + s.shape.lease(), 800 * SECOND);
         assertTrue(hung[0] > 4);
@@ -142,7 +144,7 @@
                 s.state.blindFor(leader, 2_500_000);
                 s.rules.running().stream()
                         .limit(6)
-                        .forEach(j -> s.cancelAt(others(s, leader).get(0), j));
+                        .forEach(j -> s.users.cancelAt(others(s, leader).get(0), j));
             });
         }
         s.run(85 * SECOND, 500 * SECOND);
--- a/src/test/java/org/granitepath/simulation/CapacityTest.java
+++ b/src/test/java/org/granitepath/simulation/CapacityTest.java
@@ -29,8 +29,8 @@
         for (int i = 0; i < 12; i++) {
             s.world.after(
                     2 * SECOND + 5L * i * SECOND,
-                    () -> s.submit(
-                            s.job(
+                    () -> s.users.submit(
+                            s.jobs.job(
                                     false,
                                     120,
                                     Priority.STANDARD,
@@ -43,15 +43,16 @@
                             -1));
             s.world.after(
                     2 * SECOND + 5L * i * SECOND,
-                    () -> s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), 120 * SECOND));
+                    () -> s.users.submit(
+                            s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), 120 * SECOND));
         }
         int[] most = new int[1];
         s.world.after(45 * SECOND, () -> {
             most[0] = s.cloud.workers().size();
-            s.crash(s.leader(), 4 * SECOND);
+            s.faults.crash(s.leader(), 4 * SECOND);
         });
-        s.world.after(49 * SECOND, () -> s.crash(s.leader(), 300_000));
-        s.world.after(70 * SECOND, () -> s.names.forEach(n -> s.crash(n, SECOND)));
+        s.world.after(49 * SECOND, () -> s.faults.crash(s.leader(), 300_000));
+        s.world.after(70 * SECOND, () -> s.names.forEach(n -> s.faults.crash(n, SECOND)));
         s.world.after(75 * SECOND, () -> s.state.outage(10 * SECOND));
         s.run(100 * SECOND, 300 * SECOND);
         assertTrue(most[0] > 150, "only " + most[0] + " machines");
@@ -69,8 +70,8 @@
             int n = i;
             s.world.after(
                     2 * SECOND + 5L * i * SECOND,
-                    () -> s.submit(
-                            s.job(
+                    () -> s.users.submit(
+                            s.jobs.job(
                                     false,
                                     n % 10 == 3 ? 60 : 16,
                                     Priority.STANDARD,
@@ -83,8 +84,8 @@
                             -1));
             s.world.after(2 * SECOND + 5L * i * SECOND, () -> {
                 if (n % 4 == 0) {
-                    s.submit(
-                            s.job(
+                    s.users.submit(
+                            s.jobs.job(
                                     false,
                                     n % 8 == 0 ? 40 : 6,
                                     Priority.BEST_EFFORT,
@@ -109,8 +110,8 @@
         Simulation s = new Simulation(75, 3, 10);
         List<JobSpec> late = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
-            JobSpec j = s.job(true, 2, Priority.CRITICAL, "free", false, true, false, 0, 0);
-            s.world.after(2 * SECOND + 3L * i * SECOND, () -> s.submit(j, -1));
+            JobSpec j = s.jobs.job(true, 2, Priority.CRITICAL, "free", false, true, false, 0, 0);
+            s.world.after(2 * SECOND + 3L * i * SECOND, () -> s.users.submit(j, -1));
             if (i >= 25) {
                 late.add(j);
             }
@@ -130,13 +131,13 @@
     @Test
     void cleanupOfMachinesWithManyTasksIsRare() {
         Simulation s = new Simulation(85, 3, 3);
-        JobSpec like = s.job(true, 31, Priority.CRITICAL, "free", false, false, false, 0, 0);
+        JobSpec like = s.jobs.job(true, 31, Priority.CRITICAL, "free", false, false, false, 0, 0);
         for (int i = 0; i < 4; i++) {
-            s.submit(s.withCpu(like, 31, 250), -1);
+            s.users.submit(s.jobs.withCpu(like, 31, 250), -1);
         }
-        JobSpec batch = s.job(false, 60, Priority.STANDARD, "free", true, false, false, 2 * SECOND, 0);
+        JobSpec batch = s.jobs.job(false, 60, Priority.STANDARD, "free", true, false, false, 2 * SECOND, 0);
         for (int i = 0; i < 30; i++) {
-            s.world.after((20 + 3 * i) * SECOND, () -> s.submit(s.withCpu(batch, 60, 250), -1));
+            s.world.after((20 + 3 * i) * SECOND, () -> s.users.submit(s.jobs.withCpu(batch, 60, 250), -1));
         }
         s.run(150 * SECOND);
         assertRulesAndAllDone(s);
@@ -149,7 +150,7 @@
     void servicesAreBoughtForAsAClass() {
         Simulation s = new Simulation(76, 3, 20);
         for (int i = 0; i < 40; i++) {
-            s.submit(s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         s.run(30 * SECOND);
         assertRules(s);
@@ -165,8 +166,8 @@
     void lateBootsAreNotWaitedFor(long seed) {
         Simulation s = new Simulation(seed, 3, 5);
         s.cloud.neverUp = 2;
-        JobSpec j = s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
-        s.submit(j, -1);
+        JobSpec j = s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
+        s.users.submit(j, -1);
         s.run(90 * SECOND);
         assertRules(s);
         assertTrue(
@@ -178,12 +179,13 @@
     @ValueSource(longs = {81, 82, 83})
     void someInTimeRatherThanAllLate(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
-        s.submit(s.job(false, 120, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
+        s.users.submit(s.jobs.job(false, 120, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
         List<JobSpec> jobs = new ArrayList<>();
         for (int i = 0; i < 16; i++) {
-            jobs.add(s.job(false, i % 4 == 0 ? 240 : 50, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0));
+            jobs.add(s.jobs.job(
+                    false, i % 4 == 0 ? 240 : 50, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0));
             JobSpec j = jobs.get(i);
-            s.world.after(30 * SECOND + 6L * i * SECOND, () -> s.submit(j, -1));
+            s.world.after(30 * SECOND + 6L * i * SECOND, () -> s.users.submit(j, -1));
         }
         s.run(700 * SECOND);
         assertRulesAndAllDone(s);
--- a/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
+++ b/src/test/java/org/granitepath/simulation/CombinedFaultsTest.java
@@ -35,7 +35,8 @@
         longWork(s, 4, 6, 20 * SECOND);
         s.world.after(20 * SECOND, () -> s.world.heldUp = 0.03);
         int[] waiting = new int[1];
-        s.world.after(60 * SECOND, () -> waiting[0] = s.unfinishedBatches().size());
+        s.world.after(
+                60 * SECOND, () -> waiting[0] = s.users.unfinishedBatches().size());
         s.world.after(90 * SECOND, () -> s.world.heldUp = 0);
         s.run(100 * SECOND, 700 * SECOND);
         assertTrue(waiting[0] > 5, "only " + waiting[0] + " jobs wait");
@@ -56,12 +57,12 @@
             List<SimWorker> all = s.cloud.workers();
             for (int i = 0; i < all.size(); i++) {
                 if (i % 3 == 0) {
-                    s.cutMachine(all.get(i), World.Cut.HOLD, 40 * SECOND);
+                    s.faults.cutMachine(all.get(i), World.Cut.HOLD, 40 * SECOND);
                 } else if (i % 3 == 1) {
-                    s.deafen(all.get(i), 25 * SECOND);
+                    s.faults.deafen(all.get(i), 25 * SECOND);
                 }
             }
-            s.crash(leader[0], 20 * SECOND);
+            s.faults.crash(leader[0], 20 * SECOND);
         });
         s.world.after(60 * SECOND, () -> assertNotEquals(leader[0], s.leader()));
         s.run(95 * SECOND, 500 * SECOND);
@@ -74,19 +75,20 @@
     void jobsOfOneZoneLoseMachines(long seed) {
         Simulation s = simulation(seed);
         for (int i = 0; i < 12; i++) {
-            s.submit(s.job(false, 3 + i % 5, Priority.STANDARD, "free", true, false, true, 25 * SECOND, 0), -1);
+            s.users.submit(
+                    s.jobs.job(false, 3 + i % 5, Priority.STANDARD, "free", true, false, true, 25 * SECOND, 0), -1);
         }
         int[] lost = new int[1];
         for (int i = 0; i < 6; i++) {
             s.world.after((35 + 4 * i) * SECOND, () -> {
                 SimWorker w = s.anyWorker();
-                lost[0] += w != null && w.busy() ? 1 : 0;
+                lost[0] += w != null && w.runs().busy() ? 1 : 0;
                 if (w != null) {
                     w.die();
                 }
             });
         }
-        s.world.after(45 * SECOND, () -> s.crash(s.leader(), 300_000));
+        s.world.after(45 * SECOND, () -> s.faults.crash(s.leader(), 300_000));
         s.run(60 * SECOND, 400 * SECOND);
         assertTrue(lost[0] > 0, "no machine at work was lost");
         assertRulesAndAllDone(s);
@@ -101,7 +103,7 @@
     void jobsOfOneZoneUnconfirmed(long seed) {
         Simulation s = simulation(seed);
         for (int i = 0; i < 6; i++) {
-            s.submit(s.job(false, 21, Priority.STANDARD, "free", true, false, true, 40 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(false, 21, Priority.STANDARD, "free", true, false, true, 40 * SECOND, 0), -1);
         }
         int[] cut = new int[1];
         s.world.after(40 * SECOND, () -> {
@@ -110,8 +112,8 @@
             cut[0] = hosts.size();
             s.cloud.workers().stream()
                     .filter(w -> hosts.contains(w.id))
-                    .forEach(w -> s.cutMachine(w, World.Cut.HOLD, 10 * SECOND));
-            s.crash(s.leader(), 6 * SECOND);
+                    .forEach(w -> s.faults.cutMachine(w, World.Cut.HOLD, 10 * SECOND));
+            s.faults.crash(s.leader(), 6 * SECOND);
         });
         s.run(60 * SECOND, 700 * SECOND);
         assertTrue(cut[0] > 2, cut[0] + " machines were cut off");
@@ -137,7 +139,7 @@
             String leader = s.leader();
             running[0] = s.rules.running().size();
             s.state.refuse(leader, 14 * SECOND);
-            jobs.forEach(j -> s.cancelAt(others(s, leader).get(s.world.random.nextInt(4)), j.id()));
+            jobs.forEach(j -> s.users.cancelAt(others(s, leader).get(s.world.random.nextInt(4)), j.id()));
             s.world.after((1 + seed % 2) * SECOND, () -> {
                 s.state.outage(s.shape.cancel() + 15 * SECOND);
                 answered[0] = s.reportsAccepted(leader);
@@ -167,11 +169,11 @@
         s.world.after(60 * SECOND, () -> {
             s.state.refuse(s.leader(), 12 * SECOND);
             told[0] = s.rules.cancellationsTold();
-            s.cancelRunning(4, 0);
+            s.users.cancelRunning(4, 0);
         });
         s.world.after(66 * SECOND, () -> {
             s.state.outage(s.shape.cancel() + 6 * SECOND);
-            s.cancelRunning(3, 0);
+            s.users.cancelRunning(3, 0);
             told[1] = s.rules.cancellationsTold();
         });
         s.run(70 * SECOND + s.shape.cancel() + 6 * SECOND, 600 * SECOND);
@@ -188,11 +190,11 @@
         int[] told = new int[1];
         s.world.after(
                 50 * SECOND,
-                () -> s.cutZone(
+                () -> s.faults.cutZone(
                         seed % 3 == 0 ? s.zoneOf(s.leader()) : "south",
                         seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP,
                         s.shape.lease() + 12 * SECOND));
-        s.world.after(53 * SECOND, () -> s.cancelRunning(5, 0));
+        s.world.after(53 * SECOND, () -> s.users.cancelRunning(5, 0));
         s.world.after(50 * SECOND + s.shape.lease(), () -> told[0] = s.rules.cancellationsTold());
         s.run(65 * SECOND + s.shape.lease(), 500 * SECOND);
         assertTrue(told[0] > 0, "nothing was cancelled in the cut");
@@ -206,7 +208,7 @@
         Simulation s = simulation(seed);
         longWork(s, 5, 6, 70 * SECOND);
         int[] left = {-1};
-        s.world.after(50 * SECOND, () -> s.names.forEach(n -> s.crash(n, s.shape.lease() + 5 * SECOND)));
+        s.world.after(50 * SECOND, () -> s.names.forEach(n -> s.faults.crash(n, s.shape.lease() + 5 * SECOND)));
         s.world.after(
                 54 * SECOND + s.shape.lease(), () -> left[0] = s.rules.running().size());
         s.run(57 * SECOND + s.shape.lease(), 400 * SECOND);
@@ -225,8 +227,9 @@
     void tasksOfOneJobEndFarApart(long seed) {
         Simulation s = simulation(seed);
         for (int i = 0; i < 15; i++) {
-            s.submit(
-                    s.job(false, 2 + i % 2, Priority.STANDARD, "free", true, false, false, (10 + 4 * i) * SECOND, 0),
+            s.users.submit(
+                    s.jobs.job(
+                            false, 2 + i % 2, Priority.STANDARD, "free", true, false, false, (10 + 4 * i) * SECOND, 0),
                     -1);
         }
         Set<String> leaders = new HashSet<>();
@@ -234,7 +237,7 @@
             s.world.after((28 + 9 * i) * SECOND, () -> {
                 leaders.add(s.leader());
                 s.state.lateWrites = 0.2;
-                s.crash(s.leader(), 5 * SECOND);
+                s.faults.crash(s.leader(), 5 * SECOND);
             });
         }
         s.world.after(65 * SECOND, () -> s.state.lateWrites = 0);
@@ -252,7 +255,7 @@
     void teamAtItsLimitWhenTheLeaderChanges(long seed) {
         Simulation s = simulation(seed);
         for (int i = 0; i < 8; i++) {
-            s.submit(s.job(false, 6, Priority.STANDARD, "tight", true, false, false, 40 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(false, 6, Priority.STANDARD, "tight", true, false, false, 40 * SECOND, 0), -1);
         }
         boolean[] met = new boolean[1];
         s.world.after(55 * SECOND, () -> {
@@ -263,15 +266,16 @@
             s.cloud.workers().stream()
                     .filter(w -> hosts.contains(w.id))
                     .limit(2)
-                    .forEach(w -> s.cutMachine(w, World.Cut.HOLD, 20 * SECOND));
-            s.crash(s.leader(), 10 * SECOND);
-            s.world.after(2 * SECOND, () -> s.cancelRunning(2, 0));
+                    .forEach(w -> s.faults.cutMachine(w, World.Cut.HOLD, 20 * SECOND));
+            s.faults.crash(s.leader(), 10 * SECOND);
+            s.world.after(2 * SECOND, () -> s.users.cancelRunning(2, 0));
             // Accepted in the new leader's own term, so nothing but the limit holds them back.
             for (int i = 0; i < 8; i++) {
                 s.world.after(
                         4 * SECOND + i * SECOND / 2,
-                        () -> s.submit(
-                                s.job(false, 3, Priority.STANDARD, "tight", true, false, false, 20 * SECOND, 0), -1));
+                        () -> s.users.submit(
+                                s.jobs.job(false, 3, Priority.STANDARD, "tight", true, false, false, 20 * SECOND, 0),
+                                -1));
             }
         });
         s.run(80 * SECOND, 600 * SECOND);
@@ -290,12 +294,12 @@
             s.world.after((35 + 11 * i) * SECOND, () -> {
                 String was = s.leader();
                 if (s.world.random.nextBoolean()) {
-                    s.crash(was, 300_000 + s.world.random.nextInt(6_000_000));
+                    s.faults.crash(was, 300_000 + s.world.random.nextInt(6_000_000));
                 } else {
-                    s.cutFromPeersAndState(was, World.Cut.HOLD, 9 * SECOND);
+                    s.faults.cutFromPeersAndState(was, World.Cut.HOLD, 9 * SECOND);
                 }
                 s.world.after(10 * SECOND, () -> changes[0] += s.leader().equals(was) ? 0 : 1);
-                s.cancelRunning(1, 0);
+                s.users.cancelRunning(1, 0);
             });
         }
         s.world.after(90 * SECOND, () -> s.state.outage(20 * SECOND));
@@ -312,9 +316,11 @@
         s.world.lateCopies = 0.1;
         s.world.after(40 * SECOND, () -> {
             String first = s.leader();
-            s.crash(first, 400_000);
-            s.world.after(6 * SECOND, () -> s.crash(s.leader(), 200_000));
-            s.world.after(12 * SECOND, () -> s.names.forEach(n -> s.crash(n, n.equals(first) ? 100_000 : 25 * SECOND)));
+            s.faults.crash(first, 400_000);
+            s.world.after(6 * SECOND, () -> s.faults.crash(s.leader(), 200_000));
+            s.world.after(
+                    12 * SECOND,
+                    () -> s.names.forEach(n -> s.faults.crash(n, n.equals(first) ? 100_000 : 25 * SECOND)));
             s.world.after(20 * SECOND, () -> assertEquals(first, s.leader()));
         });
         s.run(80 * SECOND, 500 * SECOND);
@@ -329,15 +335,16 @@
     @ValueSource(longs = {1, 2})
     void deferrableWorkIsNotLeftWaitingBesideRoom(long seed) {
         Simulation s = new Simulation(seed, (seed % 2 == 0 ? LONG : SHORT).with(3, 1));
-        JobSpec like = s.job(false, 1, Priority.STANDARD, "free", false, false, false, 600 * SECOND, 0);
-        s.submit(s.withCpu(like, 1, 9_000), -1); // holds a part of a full-price machine
+        JobSpec like = s.jobs.job(false, 1, Priority.STANDARD, "free", false, false, false, 600 * SECOND, 0);
+        s.users.submit(s.jobs.withCpu(like, 1, 9_000), -1); // holds a part of a full-price machine
         // Fills the spot machines, and asks for no others.
-        s.submit(
-                s.withoutDeadline(s.job(false, 30, Priority.STANDARD, "free", true, false, false, 300 * SECOND, 0)),
+        s.users.submit(
+                s.jobs.withoutDeadline(
+                        s.jobs.job(false, 30, Priority.STANDARD, "free", true, false, false, 300 * SECOND, 0)),
                 -1);
-        JobSpec late =
-                s.withoutDeadline(s.job(false, 2, Priority.BEST_EFFORT, "free", true, false, false, 20 * SECOND, 0));
-        s.world.after(60 * SECOND, () -> s.submit(late, -1));
+        JobSpec late = s.jobs.withoutDeadline(
+                s.jobs.job(false, 2, Priority.BEST_EFFORT, "free", true, false, false, 20 * SECOND, 0));
+        s.world.after(60 * SECOND, () -> s.users.submit(late, -1));
         s.run(20 * SECOND, 400 * SECOND);
         assertTrue(s.rules.begunAfter(late.id()) > 30 * SECOND, "it found room at once");
         assertRules(s);
--- a/src/test/java/org/granitepath/simulation/DelayedMessagesTest.java
+++ b/src/test/java/org/granitepath/simulation/DelayedMessagesTest.java
@@ -25,7 +25,8 @@
         s.world.after(10 * SECOND, () -> s.state.lateWrites = 0.3);
         for (int i = 0; i < 4; i++) {
             s.world.after(
-                    (30 + 20 * i) * SECOND, () -> s.crash(s.leader(), 300_000 + s.world.random.nextInt(4_000_000)));
+                    (30 + 20 * i) * SECOND,
+                    () -> s.faults.crash(s.leader(), 300_000 + s.world.random.nextInt(4_000_000)));
         }
         s.world.after(120 * SECOND, () -> s.state.lateWrites = 0);
         s.run(135 * SECOND, 500 * SECOND);
@@ -45,12 +46,15 @@
         int[] muted = new int[1];
         s.world.after(
                 45 * SECOND,
-                () -> s.cloud.workers().stream().filter(w -> w.busy()).limit(6).forEach(w -> {
-                    muted[0]++;
-                    s.mute(w, s.shape.lease() + 10 * SECOND);
-                }));
-        s.world.after(48 * SECOND, () -> s.crash(s.leader(), 5 * SECOND));
-        s.world.after(50 * SECOND, () -> s.cancelRunning(3, 0));
+                () -> s.cloud.workers().stream()
+                        .filter(w -> w.runs().busy())
+                        .limit(6)
+                        .forEach(w -> {
+                            muted[0]++;
+                            s.faults.mute(w, s.shape.lease() + 10 * SECOND);
+                        }));
+        s.world.after(48 * SECOND, () -> s.faults.crash(s.leader(), 5 * SECOND));
+        s.world.after(50 * SECOND, () -> s.users.cancelRunning(3, 0));
         s.run(60 * SECOND + s.shape.lease(), 400 * SECOND);
         assertTrue(muted[0] > 2, muted[0] + " machines at work fell mute");
         assertRulesAndAllDone(s);
@@ -68,13 +72,13 @@
             String former = s.leader();
             List<Heartbeat> held =
                     s.cloud.workers().stream().map(SimWorker::latest).toList();
-            s.crash(former, 300_000);
+            s.faults.crash(former, 300_000);
             s.world.after(9 * SECOND, () -> {
                 met[0] = held.size();
                 met[1] = s.state.writesOf(Keys.FENCING_TOKEN) - fencingTokens;
-                held.forEach(b -> s.names.forEach(n -> s.deliver(n, b)));
+                held.forEach(b -> s.names.forEach(n -> s.faults.deliver(n, b)));
             });
-            s.world.after(3 * s.shape.lease(), () -> held.forEach(s::deliver));
+            s.world.after(3 * s.shape.lease(), () -> held.forEach(s.faults::deliver));
         });
         s.run(50 * SECOND + 3 * s.shape.lease(), 400 * SECOND);
         assertTrue(
@@ -100,12 +104,12 @@
                 for (int k = 1; k < 5; k++) {
                     s.world.after(k * s.shape.lease() / 2, () -> {
                         delivered[0]++;
-                        s.deliver(old);
+                        s.faults.deliver(old);
                     });
                 }
             });
         }
-        s.world.after(60 * SECOND, () -> s.crash(s.leader(), 300_000));
+        s.world.after(60 * SECOND, () -> s.faults.crash(s.leader(), 300_000));
         s.run(80 * SECOND + 2 * s.shape.lease(), 500 * SECOND);
         assertTrue(delivered[0] > 10, delivered[0] + " old reports");
         assertRulesAndAllDone(s);
@@ -120,7 +124,8 @@
         s.world.after(25 * SECOND, () -> s.world.heldUp = 0.08);
         for (int i = 0; i < 6; i++) {
             s.world.after(
-                    (35 + 8 * i) * SECOND, () -> s.cancelRunning(2, 6 * SECOND + s.world.random.nextInt(30_000_000)));
+                    (35 + 8 * i) * SECOND,
+                    () -> s.users.cancelRunning(2, 6 * SECOND + s.world.random.nextInt(30_000_000)));
         }
         s.world.after(85 * SECOND, () -> s.world.heldUp = 0);
         s.run(125 * SECOND, 500 * SECOND);
@@ -145,7 +150,7 @@
             told[0] = s.rules.cancellationsTold();
         });
         for (int i = 0; i < 12; i++) {
-            s.world.after((41 + i) * SECOND, () -> s.cancelRunning(1, 0));
+            s.world.after((41 + i) * SECOND, () -> s.users.cancelRunning(1, 0));
         }
         s.world.after(55 * SECOND, () -> {
             s.heldStarts = 0;
--- a/src/test/java/org/granitepath/simulation/FaultScenarios.java
+++ b/src/test/java/org/granitepath/simulation/FaultScenarios.java
@@ -24,12 +24,12 @@
     static List<JobSpec> longWork(Simulation s, int services, int batches, long runMicros) {
         List<JobSpec> jobs = new ArrayList<>();
         for (int i = 0; i < services; i++) {
-            jobs.add(s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0));
+            jobs.add(s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0));
         }
         for (int i = 0; i < batches; i++) {
-            jobs.add(s.job(false, 10, Priority.STANDARD, "free", true, false, false, runMicros, 0));
+            jobs.add(s.jobs.job(false, 10, Priority.STANDARD, "free", true, false, false, runMicros, 0));
         }
-        jobs.forEach(j -> s.submit(j, -1));
+        jobs.forEach(j -> s.users.submit(j, -1));
         return jobs;
     }
 
--- a/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
+++ b/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
@@ -18,7 +18,8 @@
     private static final int MOST_FAILURES_OF_A_MACHINE = 4;
 
     private static JobSpec job(Simulation s, int tasks) {
-        return s.withoutDeadline(s.job(false, tasks, Priority.STANDARD, "free", true, false, false, 15 * SECOND, 0));
+        return s.jobs.withoutDeadline(
+                s.jobs.job(false, tasks, Priority.STANDARD, "free", true, false, false, 15 * SECOND, 0));
     }
 
     /** Many machines fail at once: each is found after a few tasks, and no job is made to wait for it. */
@@ -29,7 +30,7 @@
         List<JobSpec> jobs = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             JobSpec next = job(s, 7);
-            s.world.after(2L * i * SECOND, () -> s.submit(next, -1));
+            s.world.after(2L * i * SECOND, () -> s.users.submit(next, -1));
             if (i >= 20) {
                 jobs.add(next);
             }
@@ -58,7 +59,7 @@
     void jobsThatFailEverywhereTakeNoMachines(long seed) {
         Simulation s = new Simulation(seed, 3, 2);
         for (int i = 0; i < 45; i++) {
-            s.world.after(4L * i * SECOND, () -> s.submit(job(s, 8), -1));
+            s.world.after(4L * i * SECOND, () -> s.users.submit(job(s, 8), -1));
         }
         List<SimWorker> before = new ArrayList<>();
         s.world.after(40 * SECOND, () -> {
@@ -66,7 +67,7 @@
             for (int i = 0; i < 2; i++) {
                 JobSpec broken = job(s, 8);
                 s.brokenJobs.add(broken.id());
-                s.submit(broken, -1);
+                s.users.submit(broken, -1);
             }
         });
         s.run(180 * SECOND);
--- a/src/test/java/org/granitepath/simulation/FleetTest.java
+++ b/src/test/java/org/granitepath/simulation/FleetTest.java
@@ -49,7 +49,7 @@
         s.world.after(RecoveryLoad.RESTART, () -> {
             running[0] = (int) s.rules.tasksUp();
             refusals[0] = s.state.refusals;
-            s.crashAll(SECOND);
+            s.faults.crashAll(SECOND);
         });
         s.run(RecoveryLoad.RESTART + 30 * SECOND);
         RecoveryStatus status = s.recovery();
@@ -71,29 +71,31 @@
     private static void day(Simulation s, int machines) {
         List<JobSpec> services = new ArrayList<>();
         for (int i = 0; i < 120; i++) {
-            services.add(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0));
-            s.submit(services.get(i), -1);
+            services.add(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0));
+            s.users.submit(services.get(i), -1);
         }
         for (int i = 0; i < 40; i++) {
             s.world.after(
                     3 * SECOND + 3L * i * SECOND / 2,
-                    () -> s.submit(
-                            s.job(false, machines / 4, Priority.STANDARD, "free", true, false, false, 60 * SECOND, 0),
+                    () -> s.users.submit(
+                            s.jobs.job(
+                                    false, machines / 4, Priority.STANDARD, "free", true, false, false, 60 * SECOND, 0),
                             -1));
         }
         int[] most = new int[1];
         s.world.after(70 * SECOND, () -> {
             most[0] = s.cloud.workers().size();
-            s.freeze(s.leader(), 33 * SECOND);
+            s.faults.freeze(s.leader(), 33 * SECOND);
         });
-        s.world.after(112 * SECOND, () -> s.cutZone("south", World.Cut.HOLD, 30 * SECOND));
-        s.world.after(118 * SECOND, () -> s.crash(s.leader(), 300_000));
+        s.world.after(112 * SECOND, () -> s.faults.cutZone("south", World.Cut.HOLD, 30 * SECOND));
+        s.world.after(118 * SECOND, () -> s.faults.crash(s.leader(), 300_000));
         s.world.after(
-                160 * SECOND, () -> s.names.forEach(n -> s.crash(n, 300_000 + s.world.random.nextInt(4_000_000))));
+                160 * SECOND,
+                () -> s.names.forEach(n -> s.faults.crash(n, 300_000 + s.world.random.nextInt(4_000_000))));
         s.run(170 * SECOND, 400 * SECOND);
         assertEquals(List.of(), s.rules.broken.stream().distinct().limit(5).toList());
         assertTrue(most[0] >= machines, "only " + most[0] + " machines");
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertEquals(List.of(), s.users.unfinishedBatches());
         s.rules.checkServed();
         assertEquals(List.of(), s.rules.broken);
         assertEquals(0, s.state.oversized, "a transaction or a value over its limit");
--- a/src/test/java/org/granitepath/simulation/GangTest.java
+++ b/src/test/java/org/granitepath/simulation/GangTest.java
@@ -21,20 +21,20 @@
     private static final int SIZE = 4;
 
     private static JobSpec gang(Simulation s, int tasks, boolean spot, long runMicros, long checkpointMicros) {
-        return s.job(false, tasks, Priority.STANDARD, "free", spot, false, true, runMicros, checkpointMicros);
+        return s.jobs.job(false, tasks, Priority.STANDARD, "free", spot, false, true, runMicros, checkpointMicros);
     }
 
     /** A deployment with a gang in it, and room for another attempt elsewhere. */
     private static JobSpec submitGang(Simulation s, boolean spot, long runMicros, long checkpointMicros) {
         JobSpec spec = gang(s, SIZE, spot, runMicros, checkpointMicros);
         s.run(SECOND);
-        s.submit(spec, -1);
+        s.users.submit(spec, -1);
         return spec;
     }
 
     private static List<SimWorker> holders(Simulation s, JobSpec spec) {
         return s.cloud.workers().stream()
-                .filter(w -> w.held().containsKey(spec.id()))
+                .filter(w -> w.runs().held().containsKey(spec.id()))
                 .toList();
     }
 
@@ -47,7 +47,7 @@
 
     private static int tasksHeld(Simulation s, JobSpec spec) {
         return holders(s, spec).stream()
-                .map(SimWorker::held)
+                .map(worker -> worker.runs().held())
                 .mapToInt((Map<String, Integer> held) -> held.get(spec.id()))
                 .sum();
     }
@@ -62,11 +62,14 @@
     /** Small gangs fit one machine: a service that fills most of each makes the gang take several. */
     private static JobSpec submitOnSeveralMachines(Simulation s, int tasks, long runMicros) {
         for (int i = 0; i < 8; i++) {
-            s.submit(s.withCpu(s.job(true, 1, Priority.CRITICAL, "free", false, false, false, 0, 0), 1, 11_000), -1);
+            s.users.submit(
+                    s.jobs.withCpu(
+                            s.jobs.job(true, 1, Priority.CRITICAL, "free", false, false, false, 0, 0), 1, 11_000),
+                    -1);
         }
         s.run(30 * SECOND);
         JobSpec spec = gang(s, tasks, false, runMicros, 3 * SECOND);
-        s.submit(spec, -1);
+        s.users.submit(spec, -1);
         return spec;
     }
 
@@ -76,7 +79,7 @@
         Simulation s = new Simulation(seed);
         for (int i = 0; i < 12; i++) {
             JobSpec spec = gang(s, i % 3 == 0 ? 9 : SIZE, i % 2 == 0, 10 * SECOND, 3 * SECOND);
-            s.world.after((2 + 3 * i) * SECOND, () -> s.submit(spec, -1));
+            s.world.after((2 + 3 * i) * SECOND, () -> s.users.submit(spec, -1));
         }
         s.run(200 * SECOND);
         assertRulesAndAllDone(s);
@@ -149,8 +152,8 @@
         JobSpec spec = submitOnSeveralMachines(s, 9, 10 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + millis * 1_000);
-        s.crash(s.leader(), 3 * SECOND);
-        s.world.after(5 * SECOND, () -> s.crash(s.leader(), 400_000));
+        s.faults.crash(s.leader(), 3 * SECOND);
+        s.world.after(5 * SECOND, () -> s.faults.crash(s.leader(), 400_000));
         s.run(s.world.now() + 120 * SECOND);
         assertRulesAndAllDone(s);
         assertEquals(1, s.gangs.attemptsOf(spec.id()));
@@ -164,9 +167,9 @@
         JobSpec spec = submitOnSeveralMachines(s, 9, 10 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + seed * SECOND);
-        s.cutMachine(holders(s, spec).get(0), seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 20 * SECOND);
-        s.crash(s.leader(), SECOND);
-        s.world.after(7 * SECOND, () -> s.crash(s.leader(), SECOND));
+        s.faults.cutMachine(holders(s, spec).get(0), seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 20 * SECOND);
+        s.faults.crash(s.leader(), SECOND);
+        s.world.after(7 * SECOND, () -> s.faults.crash(s.leader(), SECOND));
         s.run(s.world.now() + 200 * SECOND);
         assertRulesAndAllDone(s);
     }
@@ -178,8 +181,8 @@
         JobSpec spec = submitOnSeveralMachines(s, 9, 30 * SECOND);
         runUntilHeld(s, spec);
         s.run(s.world.now() + millis * 1_000);
-        s.cancel(spec.id());
-        s.crash(s.leader(), SECOND);
+        s.users.cancel(spec.id());
+        s.faults.crash(s.leader(), SECOND);
         s.run(s.world.now() + 60 * SECOND);
         assertRules(s);
         assertEquals(JobState.CANCELLED, s.rules.finalTold(spec.id()));
@@ -194,11 +197,12 @@
         for (int i = 0; i < 130; i++) {
             s.world.after(
                     SECOND * i,
-                    () -> s.submit(s.job(false, 8, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
+                    () -> s.users.submit(
+                            s.jobs.job(false, 8, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
         }
-        JobSpec spec = s.withCpu(
-                s.job(false, SIZE, Priority.STANDARD, "free", false, false, true, 8 * SECOND, 0), SIZE, 4_000);
-        s.world.after(20 * SECOND, () -> s.submit(spec, -1));
+        JobSpec spec = s.jobs.withCpu(
+                s.jobs.job(false, SIZE, Priority.STANDARD, "free", false, false, true, 8 * SECOND, 0), SIZE, 4_000);
+        s.world.after(20 * SECOND, () -> s.users.submit(spec, -1));
         s.run(110 * SECOND);
         assertRules(s);
         assertEquals(JobState.DONE, s.rules.finalTold(spec.id()), "the gang waits");
@@ -210,9 +214,9 @@
     void twoGangsThatNeedTheSameRoom(long seed) {
         Simulation s = new Simulation(seed, Simulation.Shape.SMALL.with(3, 1));
         for (int i = 0; i < 6; i++) {
-            JobSpec spec = s.withCpu(
-                    s.job(false, SIZE, Priority.STANDARD, "free", false, false, true, 8 * SECOND, 0), SIZE, 4_000);
-            s.world.after(2 * SECOND, () -> s.submit(spec, -1));
+            JobSpec spec = s.jobs.withCpu(
+                    s.jobs.job(false, SIZE, Priority.STANDARD, "free", false, false, true, 8 * SECOND, 0), SIZE, 4_000);
+            s.world.after(2 * SECOND, () -> s.users.submit(spec, -1));
         }
         s.run(250 * SECOND);
         assertRulesAndAllDone(s);
@@ -221,11 +225,11 @@
     @Test
     void aGangBeyondItsTeamsLimitIsRefused() {
         Simulation s = new Simulation(5);
-        JobSpec wide = s.job(false, 9, Priority.STANDARD, "tight", true, false, false, SECOND, 0);
-        JobSpec narrow = s.job(false, SIZE, Priority.STANDARD, "tight", true, false, false, SECOND, 0);
+        JobSpec wide = s.jobs.job(false, 9, Priority.STANDARD, "tight", true, false, false, SECOND, 0);
+        JobSpec narrow = s.jobs.job(false, SIZE, Priority.STANDARD, "tight", true, false, false, SECOND, 0);
         s.run(3 * SECOND);
-        s.submit(wide, -1);
-        s.submit(narrow, -1);
+        s.users.submit(wide, -1);
+        s.users.submit(narrow, -1);
         s.run(60 * SECOND);
         assertRules(s);
         assertNull(s.rules.finalTold(wide.id()));
--- a/src/test/java/org/granitepath/simulation/GuaranteeTest.java
+++ b/src/test/java/org/granitepath/simulation/GuaranteeTest.java
@@ -16,7 +16,8 @@
     private static final int MOST_STARTS = 8;
 
     private static JobSpec wide(Simulation s, String team, int tasks, long runMicros) {
-        return s.withoutDeadline(s.job(false, tasks, Priority.STANDARD, team, true, false, false, runMicros, 0));
+        return s.jobs.withoutDeadline(
+                s.jobs.job(false, tasks, Priority.STANDARD, team, true, false, false, runMicros, 0));
     }
 
     /**
@@ -28,17 +29,17 @@
     void borrowedRoomIsGivenBack(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
         for (int i = 0; i < 2; i++) {
-            s.submit(wide(s, "free", 35, 150 * SECOND), -1);
+            s.users.submit(wide(s, "free", 35, 150 * SECOND), -1);
         }
         long[] used = new long[3];
         s.world.after(60 * SECOND, () -> {
             used[0] = s.rules.usedBy("free");
             if (seed % 2 == 1) {
-                s.crash(s.leader(), 300_000);
+                s.faults.crash(s.leader(), 300_000);
             }
-            s.submit(wide(s, "granted", 8, 30 * SECOND), -1);
+            s.users.submit(wide(s, "granted", 8, 30 * SECOND), -1);
             // Beyond the guarantee it borrows like everybody else: nothing is stopped for that.
-            s.world.after(SECOND, () -> s.submit(wide(s, "granted", 5, 30 * SECOND), -1));
+            s.world.after(SECOND, () -> s.users.submit(wide(s, "granted", 5, 30 * SECOND), -1));
         });
         long within = seed % 2 == 1 ? 16 : 10;
         for (long i = 1; i <= within; i++) {
@@ -59,19 +60,19 @@
     @ValueSource(longs = {1, 2, 3})
     void nobodyGivesBackMoreThanItBorrowed(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
-        s.submit(wide(s, "free", 10, 300 * SECOND), -1);
+        s.users.submit(wide(s, "free", 10, 300 * SECOND), -1);
         // Of low priority, so that stopping it costs least, and on all machines, so that many of its tasks could go at
         // once.
-        s.submit(
-                s.withoutDeadline(
-                        s.job(false, 10, Priority.BEST_EFFORT, "lender", true, false, false, 300 * SECOND, 0)),
+        s.users.submit(
+                s.jobs.withoutDeadline(
+                        s.jobs.job(false, 10, Priority.BEST_EFFORT, "lender", true, false, false, 300 * SECOND, 0)),
                 -1);
         long[] lent = {0, Long.MAX_VALUE, 0};
         s.world.after(60 * SECOND, () -> {
             lent[0] = s.rules.usedBy("lender");
-            s.submit(wide(s, "free", 40, 300 * SECOND), -1);
+            s.users.submit(wide(s, "free", 40, 300 * SECOND), -1);
         });
-        s.world.after(75 * SECOND, () -> s.submit(wide(s, "granted", 8, 60 * SECOND), -1));
+        s.world.after(75 * SECOND, () -> s.users.submit(wide(s, "granted", 8, 60 * SECOND), -1));
         for (long i = 1; i <= 12; i++) {
             s.world.after((75 + i) * SECOND, () -> {
                 lent[1] = Math.min(lent[1], s.rules.usedBy("lender"));
@@ -90,13 +91,13 @@
     void aSwarmDoesNotStarveOthers(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
         for (int i = 0; i < 40; i++) {
-            s.submit(wide(s, "free", 5, 12 * SECOND), -1);
+            s.users.submit(wide(s, "free", 5, 12 * SECOND), -1);
         }
         JobSpec[] granted = new JobSpec[6];
         for (int i = 0; i < granted.length; i++) {
             granted[i] = wide(s, "granted", 3, 10 * SECOND);
             JobSpec j = granted[i];
-            s.world.after((30 + 12 * i) * SECOND, () -> s.submit(j, -1));
+            s.world.after((30 + 12 * i) * SECOND, () -> s.users.submit(j, -1));
         }
         s.run(300 * SECOND);
         assertRules(s);
@@ -115,17 +116,17 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void urgentWorkDoesNotWaitBesideFullPriceRoom(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
-        JobSpec like = s.job(false, 1, Priority.STANDARD, "free", false, false, false, 600 * SECOND, 0);
-        s.submit(s.withCpu(like, 1, 9_000), -1); // holds a part of a full-price machine
-        s.submit(wide(s, "free", 30, 300 * SECOND), -1); // fills the spot machines, and asks for no others
+        JobSpec like = s.jobs.job(false, 1, Priority.STANDARD, "free", false, false, false, 600 * SECOND, 0);
+        s.users.submit(s.jobs.withCpu(like, 1, 9_000), -1); // holds a part of a full-price machine
+        s.users.submit(wide(s, "free", 30, 300 * SECOND), -1); // fills the spot machines, and asks for no others
         boolean guaranteed = seed % 2 == 1;
-        JobSpec job = s.job(
+        JobSpec job = s.jobs.job(
                 false, 2, Priority.STANDARD, guaranteed ? "granted" : "free", true, false, false, 300 * SECOND, 0);
-        JobSpec urgent = guaranteed ? job : s.ofClass(job, Simulation.PROMPT);
+        JobSpec urgent = guaranteed ? job : s.jobs.ofClass(job, Simulation.PROMPT);
         long[] used = new long[2];
         s.world.after(60 * SECOND, () -> {
             used[0] = s.rules.usedBy("free");
-            s.submit(urgent, -1);
+            s.users.submit(urgent, -1);
         });
         s.world.after(80 * SECOND, () -> used[1] = s.rules.usedBy("free") - (guaranteed ? 0 : 4_000));
         s.run(90 * SECOND);
@@ -145,11 +146,11 @@
     void tasksAreNotStoppedOverAndOver(long seed) {
         Simulation s = new Simulation(seed, 3, 3);
         for (int i = 0; i < 30; i++) {
-            s.submit(wide(s, "free", 20, 60 * SECOND), -1);
+            s.users.submit(wide(s, "free", 20, 60 * SECOND), -1);
         }
         for (int i = 0; i < 120; i++) {
             JobSpec granted = wide(s, i % 2 == 0 ? "granted" : "lender", 7, 12 * SECOND);
-            s.world.after(30 * SECOND + 700_000L * i, () -> s.submit(granted, -1));
+            s.world.after(30 * SECOND + 700_000L * i, () -> s.users.submit(granted, -1));
         }
         s.run(200 * SECOND);
         assertRules(s);
--- a/src/test/java/org/granitepath/simulation/RandomFaultPairsTest.java
+++ b/src/test/java/org/granitepath/simulation/RandomFaultPairsTest.java
@@ -34,8 +34,8 @@
         for (int i = 0; i < 10; i++) {
             s.world.after(
                     (5 + 14 * i) * SECOND,
-                    () -> s.submit(
-                            s.job(
+                    () -> s.users.submit(
+                            s.jobs.job(
                                     false,
                                     1 + s.world.random.nextInt(8),
                                     Priority.STANDARD,
@@ -77,16 +77,16 @@
 
     private static List<Consumer<Simulation>> troubles() {
         return List.of(
-                s -> s.crash(s.leader(), 200_000 + s.world.random.nextInt(6_000_000)),
-                s -> s.names.forEach(n -> s.crash(n, 200_000 + s.world.random.nextInt(30_000_000))),
+                s -> s.faults.crash(s.leader(), 200_000 + s.world.random.nextInt(6_000_000)),
+                s -> s.names.forEach(n -> s.faults.crash(n, 200_000 + s.world.random.nextInt(30_000_000))),
                 s -> s.state.refuse(s.leader(), time(s)),
                 s -> s.state.outage(time(s) + s.shape.cancel() / 2),
-                s -> s.cutFromPeersAndState(s.leader(), cut(s), time(s)),
-                s -> s.cut(s.leader(), SimState.NAME, cut(s), time(s)),
-                s -> s.cutFromWorkers(s.leader(), cut(s), time(s)),
-                s -> s.cutZone(s.zoneOf(s.anyNode()), cut(s), time(s)),
-                s -> s.freeze(s.leader(), time(s)),
-                s -> s.cancelRunning(6, s.world.random.nextBoolean() ? 0 : time(s)),
+                s -> s.faults.cutFromPeersAndState(s.leader(), cut(s), time(s)),
+                s -> s.faults.cut(s.leader(), SimState.NAME, cut(s), time(s)),
+                s -> s.faults.cutFromWorkers(s.leader(), cut(s), time(s)),
+                s -> s.faults.cutZone(s.zoneOf(s.anyNode()), cut(s), time(s)),
+                s -> s.faults.freeze(s.leader(), time(s)),
+                s -> s.users.cancelRunning(6, s.world.random.nextBoolean() ? 0 : time(s)),
                 s -> {
                     s.cancelledAtEnd = 0.5;
                     s.world.after(time(s), () -> s.cancelledAtEnd = 0);
@@ -104,12 +104,12 @@
                     s.world.after(time(s), () -> s.world.heldUp = 0);
                 },
                 s -> s.state.blindFor(s.leader(), time(s)),
-                s -> someMachines(s, w -> s.deafen(w, time(s))),
-                s -> someMachines(s, w -> s.mute(w, time(s))),
-                s -> someMachines(s, w -> s.cutMachine(w, cut(s), time(s))),
+                s -> someMachines(s, w -> s.faults.deafen(w, time(s))),
+                s -> someMachines(s, w -> s.faults.mute(w, time(s))),
+                s -> someMachines(s, w -> s.faults.cutMachine(w, cut(s), time(s))),
                 s -> someMachines(s, w -> w.hangFor(time(s))),
                 s -> someMachines(s, w -> s.world.after(s.world.random.nextInt(3_000_000), w::die)),
-                s -> s.oddRequests(time(s)),
+                s -> s.users.oddRequests(time(s)),
                 s -> s.cloud.outage(time(s)));
     }
 }
--- a/src/test/java/org/granitepath/simulation/RecoveryLoad.java
+++ b/src/test/java/org/granitepath/simulation/RecoveryLoad.java
@@ -47,13 +47,13 @@
                         8,
                         Math.max(1_000, size.machines)));
         for (int i = 0; i < size.services; i++) {
-            s.submit(s.job(true, SERVICE_REPLICAS, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(true, SERVICE_REPLICAS, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         int tasks = size.machines * 3 / size.batchJobs;
         for (int i = 0; i < size.batchJobs; i++) {
             s.world.after((3 + i) * SECOND / 2, () -> {
-                var any = s.job(false, 5, Priority.STANDARD, "free", true, false, false, BATCH_RUN, 0);
-                s.submit(s.withCpu(any, tasks, BATCH_CPU_MILLIS), -1);
+                var any = s.jobs.job(false, 5, Priority.STANDARD, "free", true, false, false, BATCH_RUN, 0);
+                s.users.submit(s.jobs.withCpu(any, tasks, BATCH_CPU_MILLIS), -1);
             });
         }
         return s;
--- a/src/test/java/org/granitepath/simulation/RecoveryMeasurement.java
+++ b/src/test/java/org/granitepath/simulation/RecoveryMeasurement.java
@@ -71,7 +71,7 @@
         s.world.after(RecoveryLoad.RESTART, () -> {
             before[0] = s.state.requests;
             before[1] = s.state.writes;
-            s.crashAll(SECOND);
+            s.faults.crashAll(SECOND);
             List<SimWorker> workers = s.cloud.workers();
             for (int i = 0; i < workers.size(); i += 10) {
                 workers.get(i).endTasks(spec -> true, Cause.STOPPED);
@@ -105,7 +105,7 @@
 
     private static List<Long> times(Simulation s, List<SimCommands.Start> starts, boolean services) {
         return starts.stream()
-                .filter(start -> s.describedAs(start.task().job()).service() == services)
+                .filter(start -> s.users.describedAs(start.task().job()).service() == services)
                 .map(SimCommands.Start::at)
                 .toList();
     }
--- a/src/test/java/org/granitepath/simulation/RecoveryTest.java
+++ b/src/test/java/org/granitepath/simulation/RecoveryTest.java
@@ -34,10 +34,10 @@
     private static Simulation busy(Simulation s) {
         s.recoveryHold = HOLD;
         for (int i = 0; i < 6; i++) {
-            s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         for (int i = 0; i < 8; i++) {
-            s.submit(s.job(false, 60, Priority.STANDARD, "free", true, false, false, 20 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(false, 60, Priority.STANDARD, "free", true, false, false, 20 * SECOND, 0), -1);
         }
         return s;
     }
@@ -45,10 +45,10 @@
     /** Each controller is back within a second, or one at once and the others much later. */
     static void restart(Simulation s, boolean apart) {
         if (apart) {
-            s.crash(s.names.get(0), 200_000);
-            s.names.stream().skip(1).forEach(n -> s.crash(n, 25 * SECOND));
+            s.faults.crash(s.names.get(0), 200_000);
+            s.names.stream().skip(1).forEach(n -> s.faults.crash(n, 25 * SECOND));
         } else {
-            s.crashAll(SECOND);
+            s.faults.crashAll(SECOND);
         }
     }
 
@@ -81,18 +81,19 @@
     private static void endAllWork(Simulation s) {
         s.world.after(2 * SECOND, () -> {
             for (int i = 0; i < 3; i++) {
-                s.submit(s.job(false, 40, Priority.STANDARD, "free", true, false, false, 20 * SECOND, 0), -1);
+                s.users.submit(
+                        s.jobs.job(false, 40, Priority.STANDARD, "free", true, false, false, 20 * SECOND, 0), -1);
             }
         });
         s.cloud.workers().forEach(w -> w.endTasks(spec -> true, Cause.STOPPED));
         s.cloud.workers().stream()
                 .filter(w -> !w.spot)
                 .limit(1)
-                .forEach(w -> s.cutMachine(w, World.Cut.DROP, 9 * SECOND));
+                .forEach(w -> s.faults.cutMachine(w, World.Cut.DROP, 9 * SECOND));
     }
 
     private static boolean isService(Simulation s, SimCommands.Start start) {
-        return s.describedAs(start.task().job()).service();
+        return s.users.describedAs(start.task().job()).service();
     }
 
     /** Without a hold the same restart starts batch work first: what the test above shows is the hold's doing. */
@@ -103,7 +104,7 @@
             Simulation s = busy(seed);
             s.recoveryHold = 0;
             s.world.after(RESTART, () -> {
-                s.crashAll(SECOND);
+                s.faults.crashAll(SECOND);
                 endAllWork(s);
             });
             s.run(RESTART + 30 * SECOND);
@@ -124,10 +125,10 @@
             restart(s, false);
             List<SimWorker> all = s.cloud.workers();
             all.stream()
-                    .filter(w -> w.live().stream()
-                            .anyMatch(r -> s.describedAs(r.task.job()).service()))
+                    .filter(w -> w.runs().live().stream()
+                            .anyMatch(r -> s.users.describedAs(r.task.job()).service()))
                     .limit(2)
-                    .forEach(w -> s.cutMachine(w, World.Cut.DROP, 90 * SECOND));
+                    .forEach(w -> s.faults.cutMachine(w, World.Cut.DROP, 90 * SECOND));
             all.forEach(w -> w.endTasks(spec -> !spec.service(), Cause.STOPPED));
         });
         s.run(RESTART + 30 * SECOND);
@@ -152,7 +153,7 @@
             List<SimWorker> spot =
                     s.cloud.workers().stream().filter(w -> w.spot).toList();
             assertFalse(spot.isEmpty());
-            spot.forEach(w -> s.cutMachine(w, World.Cut.HOLD, 60 * SECOND));
+            spot.forEach(w -> s.faults.cutMachine(w, World.Cut.HOLD, 60 * SECOND));
             s.cloud.workers().forEach(w -> w.endTasks(spec -> spec.service(), Cause.STOPPED));
         });
         s.run(RESTART + Simulation.LEASE);
@@ -176,20 +177,20 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void whatMayNotRunIsStoppedAndCleared(long seed) {
         Simulation s = busy(seed);
-        JobSpec done = s.job(false, 3, Priority.STANDARD, "free", true, false, false, SECOND, 0);
-        JobSpec cancelled = s.job(true, 2, Priority.CRITICAL, "free", false, false, false, 0, 0);
-        JobSpec unknown = s.job(false, 3, Priority.STANDARD, "free", true, false, false, SECOND, 0);
-        s.submit(done, -1);
-        s.submit(cancelled, 30 * SECOND);
-        s.describe(unknown);
+        JobSpec done = s.jobs.job(false, 3, Priority.STANDARD, "free", true, false, false, SECOND, 0);
+        JobSpec cancelled = s.jobs.job(true, 2, Priority.CRITICAL, "free", false, false, false, 0, 0);
+        JobSpec unknown = s.jobs.job(false, 3, Priority.STANDARD, "free", true, false, false, SECOND, 0);
+        s.users.submit(done, -1);
+        s.users.submit(cancelled, 30 * SECOND);
+        s.users.describe(unknown);
         List<TaskId> planted = new ArrayList<>();
         List<SimWorker> hosts = new ArrayList<>();
         s.world.after(RESTART, () -> {
             restart(s, false);
             List<SimWorker> atWork =
-                    s.cloud.workers().stream().filter(SimWorker::busy).toList();
+                    s.cloud.workers().stream().filter(w -> w.runs().busy()).toList();
             SimWorker busy = atWork.get(0);
-            TaskId held = busy.live().get(0).task;
+            TaskId held = busy.runs().live().get(0).task;
             SimWorker other = atWork.get(1);
             for (TaskId task : List.of(
                     new TaskId(done.id(), 0),
@@ -197,19 +198,20 @@
                     new TaskId(unknown.id(), 2),
                     new TaskId(held.job(), 99),
                     held)) {
-                other.plant(task, 3);
+                other.runs().plant(task, 3);
                 planted.add(task);
                 hosts.add(other);
             }
-            busy.plant(held, 5);
+            busy.runs().plant(held, 5);
         });
         s.run(RESTART + 20 * SECOND);
         for (int i = 0; i < planted.size() - 1; i++) {
-            assertFalse(hosts.get(i).lists(planted.get(i), 3), planted.get(i) + " is not stopped and cleared");
+            assertFalse(
+                    hosts.get(i).runs().get(planted.get(i), 3) != null, planted.get(i) + " is not stopped and cleared");
         }
         TaskId held = planted.get(planted.size() - 1);
         long attempts = s.cloud.workers().stream()
-                .flatMap(w -> w.live().stream())
+                .flatMap(w -> w.runs().live().stream())
                 .filter(run -> run.task.equals(held))
                 .count();
         assertTrue(attempts <= 1, held + " runs " + attempts + " times");
@@ -229,11 +231,11 @@
         s.world.after(RESTART - 3 * SECOND, () -> s.cloud.workers().forEach(w -> before.add(w.latest())));
         // Half of the machines run into the end of their lease before anybody is back.
         long down = seed % 2 == 0 ? SECOND : Simulation.LEASE + 2 * SECOND;
-        s.world.after(RESTART, () -> s.names.forEach(n -> s.crash(n, down + s.world.random.nextInt(1_000_000))));
+        s.world.after(RESTART, () -> s.names.forEach(n -> s.faults.crash(n, down + s.world.random.nextInt(1_000_000))));
         for (int i = 0; i < 30; i++) {
             s.world.after(
                     RESTART + down + i * SECOND / 2,
-                    () -> before.stream().filter(h -> h != null).forEach(s::deliver));
+                    () -> before.stream().filter(h -> h != null).forEach(s.faults::deliver));
         }
         s.run(RESTART + 40 * SECOND, 500 * SECOND);
         assertRulesAndAllDone(s);
@@ -264,15 +266,19 @@
         Simulation s = new Simulation(seed, 3, 10);
         s.recoveryHold = HOLD;
         for (int i = 0; i < 5; i++) {
-            s.submit(s.job(false, 9, Priority.STANDARD, "free", false, false, i % 2 == 0, 40 * SECOND, 0), -1);
-            s.submit(s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(
+                    s.jobs.job(false, 9, Priority.STANDARD, "free", false, false, i % 2 == 0, 40 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         s.world.after(40 * SECOND, () -> {
             restart(s, false);
             if (seed % 2 == 0) {
-                s.cutZone("south", World.Cut.HOLD, 30 * SECOND);
+                s.faults.cutZone("south", World.Cut.HOLD, 30 * SECOND);
             } else {
-                s.cloud.workers().stream().filter(SimWorker::busy).findFirst().ifPresent(SimWorker::die);
+                s.cloud.workers().stream()
+                        .filter(w -> w.runs().busy())
+                        .findFirst()
+                        .ifPresent(SimWorker::die);
             }
         });
         s.run(75 * SECOND, 500 * SECOND);
--- a/src/test/java/org/granitepath/simulation/RecoveryTroublesTest.java
+++ b/src/test/java/org/granitepath/simulation/RecoveryTroublesTest.java
@@ -33,8 +33,8 @@
     @ValueSource(strings = {Keys.JOB, Keys.PROGRESS, Keys.FINAL})
     void recordsThatCannotBeRead(String prefix) {
         Simulation s = RecoveryTest.busy(1);
-        JobSpec job = s.job(false, 6, Priority.STANDARD, "free", true, false, false, 300 * SECOND, 0);
-        s.submit(job, -1);
+        JobSpec job = s.jobs.job(false, 6, Priority.STANDARD, "free", true, false, false, 300 * SECOND, 0);
+        s.users.submit(job, -1);
         String key = prefix + job.id();
         String garbage = "{\"spec\":7,\"done\":\"x\",\"how\":[],\"claimed\":6}";
         long[] before = new long[1];
@@ -56,14 +56,14 @@
         assertRules(s);
         assertEquals(
                 List.of(),
-                s.unfinishedBatches().stream()
+                s.users.unfinishedBatches().stream()
                         .filter(id -> !id.equals(job.id()))
                         .toList());
     }
 
     private static long running(Simulation s, JobSpec job) {
         return s.cloud.workers().stream()
-                .flatMap(w -> w.live().stream())
+                .flatMap(w -> w.runs().live().stream())
                 .filter(run -> run.task.job().equals(job.id()))
                 .count();
     }
@@ -95,11 +95,11 @@
         List<JobSpec> short_ = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             long at = RESTART - SECOND + i * 50_000L;
-            JobSpec spec = s.job(i % 4 == 0, 4, Priority.STANDARD, "free", true, false, false, 5 * SECOND, 0);
+            JobSpec spec = s.jobs.job(i % 4 == 0, 4, Priority.STANDARD, "free", true, false, false, 5 * SECOND, 0);
             short_.add(spec);
-            s.world.after(at, () -> s.submit(spec, spec.service() ? 20 * SECOND : -1));
+            s.world.after(at, () -> s.users.submit(spec, spec.service() ? 20 * SECOND : -1));
         }
-        s.world.after(RESTART - 100_000 - s.world.random.nextInt(400_000), () -> s.cancelRunning(4, 0));
+        s.world.after(RESTART - 100_000 - s.world.random.nextInt(400_000), () -> s.users.cancelRunning(4, 0));
         s.world.after(RESTART, () -> RecoveryTest.restart(s, seed % 2 == 0));
         s.run(RESTART + 100 * SECOND, 500 * SECOND);
         assertRulesAndAllDone(s);
@@ -139,7 +139,9 @@
             s.world.after(RESTART, () -> {
                 RecoveryTest.restart(s, false);
                 int silent = phase == RecoveryPhase.RESUMING_LIVE ? 0 : 2;
-                s.cloud.workers().stream().limit(silent).forEach(w -> s.cutMachine(w, World.Cut.HOLD, 20 * SECOND));
+                s.cloud.workers().stream()
+                        .limit(silent)
+                        .forEach(w -> s.faults.cutMachine(w, World.Cut.HOLD, 20 * SECOND));
                 s.cloud.workers().forEach(w -> w.endTasks(spec -> spec.service(), Cause.STOPPED));
             });
             Map<RecoveryPhase, Integer> ended = new EnumMap<>(RecoveryPhase.class);
@@ -150,9 +152,9 @@
                     ended.merge(phase, 1, Integer::sum);
                     s.cloud.workers().forEach(w -> w.endTasks(spec -> spec.service(), Cause.STOPPED));
                     switch (blow) {
-                        case 0 -> s.crashAll(SECOND);
-                        case 1 -> s.crash(status.node(), 100_000);
-                        default -> s.freeze(status.node(), 6 * SECOND);
+                        case 0 -> s.faults.crashAll(SECOND);
+                        case 1 -> s.faults.crash(status.node(), 100_000);
+                        default -> s.faults.freeze(status.node(), 6 * SECOND);
                     }
                 }
             });
@@ -175,8 +177,8 @@
                 s.names.stream().filter(n -> !n.equals(leader)).findFirst().orElseThrow();
         assertEquals(RecoveryStatus.Role.FOLLOWING, s.recoveryAt(other).role());
         assertEquals(leader, s.recoveryAt(other).leader());
-        s.cut(leader, SimState.NAME, World.Cut.DROP, 60 * SECOND);
-        s.cut(other, SimState.NAME, World.Cut.DROP, 60 * SECOND);
+        s.faults.cut(leader, SimState.NAME, World.Cut.DROP, 60 * SECOND);
+        s.faults.cut(other, SimState.NAME, World.Cut.DROP, 60 * SECOND);
         s.run(RESTART + 6 * SECOND);
         assertEquals(
                 RecoveryStatus.Role.LEADING_UNCONFIRMED, s.recoveryAt(leader).role());
--- a/src/test/java/org/granitepath/simulation/Rules.java
+++ b/src/test/java/org/granitepath/simulation/Rules.java
@@ -206,7 +206,7 @@
         Map<String, Integer> inZone = new HashMap<>();
         Map<String, Long> teamCpu = new HashMap<>();
         for (SimWorker w : machines) {
-            w.held().forEach((job, n) -> {
+            w.runs().held().forEach((job, n) -> {
                 held.merge(job, n, Integer::sum);
                 zones.computeIfAbsent(job, k -> new HashSet<>()).add(w.zone);
                 inZone.merge(job + w.zone, n, Integer::sum);
--- a/src/test/java/org/granitepath/simulation/SimCloud.java
+++ b/src/test/java/org/granitepath/simulation/SimCloud.java
@@ -130,7 +130,7 @@
     private void remove(String id) {
         Host h = hosts.remove(id);
         if (h != null && h.worker != null) {
-            if (h.worker.alive() && h.worker.busy()) {
+            if (h.worker.alive() && h.worker.runs().busy()) {
                 returnedBusy.add(id);
             }
             h.worker.die();
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimRates.java
@@ -0,0 +1,35 @@
+package org.granitepath.simulation;
+
+/** What the state service admits: requests and changes a second, with bursts of one second's worth. */
+final class SimRates {
+    private final double requestsPerSecond;
+    private double writesPerSecond;
+    private double requestTokens;
+    private double writeTokens;
+    private long tokensAt;
+
+    SimRates(double requestsPerSecond, double writesPerSecond) {
+        this.requestsPerSecond = requestsPerSecond;
+        this.writesPerSecond = writesPerSecond;
+        this.requestTokens = requestsPerSecond;
+        this.writeTokens = writesPerSecond;
+    }
+
+    void lowerWrites(double nextPerSecond) {
+        writesPerSecond = nextPerSecond;
+    }
+
+    /** Whether a request with so many changes is admitted now; if so, it counts. */
+    boolean admits(long now, int changes) {
+        double passed = (now - tokensAt) / 1e6;
+        tokensAt = now;
+        requestTokens = Math.min(requestsPerSecond, requestTokens + passed * requestsPerSecond) - 1;
+        writeTokens = Math.min(writesPerSecond, writeTokens + passed * writesPerSecond) - changes;
+        boolean tooFast = requestTokens < 0 || writeTokens < 0;
+        if (tooFast) {
+            requestTokens += 1;
+            writeTokens += changes;
+        }
+        return !tooFast;
+    }
+}
--- a/src/test/java/org/granitepath/simulation/SimRuns.java
+++ b/src/test/java/org/granitepath/simulation/SimRuns.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 import org.granitepath.bookkeeping.JobSpec;
@@ -61,6 +62,21 @@
         runs.clear();
     }
 
+    /** The attempts that have not exited. */
+    List<Run> live() {
+        return runs.values().stream()
+                .filter(run -> run.state != TaskState.EXITED)
+                .toList();
+    }
+
+    /** An attempt that no present controller knows of runs here. The rules are not told: nobody may start it. */
+    void plant(TaskId task, long attempt) {
+        Run run = new Run(task, attempt);
+        run.state = TaskState.RUNNING;
+        run.until = Long.MAX_VALUE;
+        add(run);
+    }
+
     boolean busy() {
         return runs.values().stream().anyMatch(run -> run.state == TaskState.RUNNING);
     }
@@ -71,6 +87,14 @@
                 .anyMatch(other -> other != run && other.state != TaskState.EXITED && other.task.equals(run.task));
     }
 
+    /** Why a start is refused; {@code NONE}: it is not. */
+    Cause refusal(JobSpec spec, Run run) {
+        if (spec == null || run.task.index() >= spec.tasks()) {
+            return Cause.UNKNOWN_JOB;
+        }
+        return holdsOther(run) ? Cause.BUSY : hasRoom(spec, run) ? Cause.NONE : Cause.NO_ROOM;
+    }
+
     /** Tasks that are here or on their way, by job. */
     Map<String, Integer> held() {
         Map<String, Integer> held = new HashMap<>();
--- a/src/test/java/org/granitepath/simulation/SimState.java
+++ b/src/test/java/org/granitepath/simulation/SimState.java
@@ -70,18 +70,11 @@
     /** Changes made so far. */
     int writes;
 
-    private final double requestsPerSecond;
-    private double writesPerSecond;
-    private double requestTokens;
-    private double writeTokens;
-    private long tokensAt;
+    private final SimRates rates;
 
     SimState(World world, int txnOps, int valueBytes, double requestsPerSecond, double writesPerSecond) {
         this.world = world;
-        this.requestsPerSecond = requestsPerSecond;
-        this.writesPerSecond = writesPerSecond;
-        this.requestTokens = requestsPerSecond;
-        this.writeTokens = writesPerSecond;
+        this.rates = new SimRates(requestsPerSecond, writesPerSecond);
         this.txnOps = txnOps;
         this.valueBytes = valueBytes;
         world.after(50_000, this::expire);
@@ -91,7 +84,7 @@
     void lowerLimits(StateLimits next) {
         txnOps = next.txnOps();
         valueBytes = next.valueBytes();
-        writesPerSecond = next.writesPerSecond();
+        rates.lowerWrites(next.writesPerSecond());
     }
 
     void outage(long forMicros) {
@@ -147,18 +140,10 @@
     }
 
     /** Whether this request is not carried out: the service is away, or asked for too much. */
-    private boolean away(String node, int writes) {
+    private boolean away(String node, int changes) {
         requests++;
-        double passed = (world.now() - tokensAt) / 1e6;
-        tokensAt = world.now();
-        requestTokens = Math.min(requestsPerSecond, requestTokens + passed * requestsPerSecond) - 1;
-        writeTokens = Math.min(writesPerSecond, writeTokens + passed * writesPerSecond) - writes;
-        boolean tooFast = requestTokens < 0 || writeTokens < 0;
-        if (tooFast) {
-            requestTokens += 1;
-            writeTokens += writes;
-            refusals++;
-        }
+        boolean tooFast = !rates.admits(world.now(), changes);
+        refusals += tooFast ? 1 : 0;
         return tooFast || outage || refused.contains(node);
     }
 
--- /dev/null
+++ b/src/test/java/org/granitepath/simulation/SimUsers.java
@@ -0,0 +1,187 @@
+package org.granitepath.simulation;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.granitepath.bookkeeping.JobSpec;
+import org.granitepath.bookkeeping.Priority;
+import org.granitepath.coordination.Controller;
+import org.granitepath.coordination.JobResponse;
+import org.granitepath.coordination.JobResponse.JobState;
+
+/** Users who submit jobs, ask for them until they are over, and call some off. */
+final class SimUsers {
+    private static final long TIMEOUT = 5 * Simulation.SECOND;
+
+    private final Simulation simulation;
+    private final Map<String, JobSpec> described = new LinkedHashMap<>();
+    /** Jobs that can never run, and were told so. */
+    int unschedulableRefused;
+
+    int doneTold;
+
+    SimUsers(Simulation simulation) {
+        this.simulation = simulation;
+    }
+
+    /** The description of this job, or null when nobody has made one known. */
+    JobSpec describedAs(String job) {
+        return described.get(job);
+    }
+
+    /** Users call off so many jobs that run, within a fifth of a second; up to eight of their machines hang. */
+    List<String> cancelRunning(int count, long hangMicros) {
+        List<String> chosen = simulation.rules.running().stream().limit(count).toList();
+        List<String> hosts = chosen.stream()
+                .flatMap(j -> simulation.rules.hostsOf(j).stream())
+                .distinct()
+                .limit(8)
+                .toList();
+        chosen.forEach(j -> simulation.world.after(simulation.world.random.nextInt(200_000), () -> cancel(j)));
+        simulation.cloud.workers().stream()
+                .filter(w -> hangMicros > 0 && hosts.contains(w.id))
+                .forEach(w -> w.hangFor(hangMicros));
+        return chosen;
+    }
+
+    /** Users repeat submissions, cancel what is done, and send jobs that can never run. */
+    void oddRequests(long forMicros) {
+        for (long at = 0; at < forMicros; at += 700_000) {
+            simulation.world.after(at, () -> {
+                List<String> known = List.copyOf(described.keySet());
+                if (!known.isEmpty()) {
+                    JobSpec spec = described.get(known.get(simulation.world.random.nextInt(known.size())));
+                    if (simulation.rules.acceptedJob(spec.id())) {
+                        ask(spec.id(), (c, then) -> c.submit(spec, then), answer -> {});
+                    }
+                    if (simulation.rules.finalTold(spec.id()) == JobState.DONE) {
+                        cancel(spec.id());
+                    }
+                }
+                JobSpec odd = simulation.jobs.withCpu(
+                        simulation.jobs.job(
+                                false, 3, Priority.STANDARD, "free", true, false, false, Simulation.SECOND, 0),
+                        3,
+                        90_000);
+                simulation.rules.submittingUnschedulable(odd.id());
+                ask(
+                        odd.id(),
+                        (c, then) -> c.submit(odd, then),
+                        answer -> unschedulableRefused += answer instanceof JobResponse.Unschedulable ? 1 : 0);
+            });
+        }
+    }
+
+    /** Workers find the description of this job, although no user has submitted it to a controller. */
+    void describe(JobSpec spec) {
+        described.put(spec.id(), spec);
+    }
+
+    /** A user submits, polls to the end and may cancel after a while (negative: never). */
+    void submit(JobSpec spec, long cancelAfter) {
+        described.put(spec.id(), spec);
+        simulation.rules.submitting(spec);
+        ask(spec.id(), (c, then) -> c.submit(spec, then), answer -> {
+            if (answer instanceof JobResponse.Status) {
+                if (cancelAfter >= 0) {
+                    simulation.world.after(cancelAfter, () -> cancel(spec.id()));
+                }
+                poll(spec.id());
+            } else if (!(answer instanceof JobResponse.Unschedulable)) {
+                simulation.world.after(2 * Simulation.SECOND, () -> submit(spec, cancelAfter));
+            }
+        });
+    }
+
+    /** The same at one controller alone, until it accepts. */
+    void submitAt(String node, JobSpec spec) {
+        described.put(spec.id(), spec);
+        simulation.rules.submitting(spec);
+        askAt(node, spec.id(), (c, then) -> c.submit(spec, then), answer -> {
+            if (answer instanceof JobResponse.Status) {
+                poll(spec.id());
+            } else {
+                simulation.world.after(300_000, () -> submitAt(node, spec));
+            }
+        });
+    }
+
+    private void poll(String id) {
+        simulation.world.after(
+                5 * Simulation.SECOND,
+                () -> ask(id, (c, then) -> c.poll(id, then), answer -> {
+                    poll(id);
+                    if (answer instanceof JobResponse.Status s && s.state() == JobState.DONE) {
+                        doneTold++;
+                    }
+                }));
+    }
+
+    void cancel(String id) {
+        cancelAt(simulation.anyNode(), id);
+    }
+
+    /** The same at one controller first. */
+    void cancelAt(String node, String id) {
+        simulation.rules.cancelling(id);
+        askAt(node, id, (c, then) -> c.cancel(id, then), answer -> {
+            if (!(answer instanceof JobResponse.Status)) {
+                simulation.world.after(2 * Simulation.SECOND, () -> cancel(id));
+            }
+        });
+    }
+
+    private interface Question {
+        void ask(Controller c, Consumer<JobResponse> then);
+    }
+
+    private final Map<String, Integer> asking = new LinkedHashMap<>();
+
+    private void ask(String id, Question question, Consumer<JobResponse> then) {
+        askAt(simulation.anyNode(), id, question, then);
+    }
+
+    private void askAt(String node, String id, Question question, Consumer<JobResponse> then) {
+        String user = "user-" + id;
+        // Answers are compared only when the question was put after the earlier answer: so one question at a time.
+        if (asking.getOrDefault(id, 0) > 0) {
+            simulation.world.after(200_000, () -> askAt(node, id, question, then));
+            return;
+        }
+        asking.put(id, 1);
+        simulation.world.<JobResponse>callLater(
+                user,
+                node,
+                TIMEOUT,
+                answer -> {
+                    Controller c = simulation.nodes.get(node).controller;
+                    if (c != null && !simulation.unreachable.contains(node)) {
+                        question.ask(c, answer);
+                    }
+                },
+                answer -> {
+                    asking.put(id, 0);
+                    if (answer != null) {
+                        simulation.rules.told(id, answer);
+                    }
+                    then.accept(answer);
+                });
+    }
+
+    void pollUnknownJob() {
+        String id = "run-999" + simulation.world.random.nextInt(1000);
+        ask(id, (c, then) -> c.poll(id, then), answer -> {});
+    }
+
+    List<String> unfinishedBatches() {
+        List<String> list = new ArrayList<>();
+        for (JobSpec s : described.values()) {
+            if (!s.service() && simulation.rules.acceptedJob(s.id()) && simulation.rules.finalTold(s.id()) == null) {
+                list.add(s.id());
+            }
+        }
+        return list;
+    }
+}
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -16,6 +15,7 @@
 import org.granitepath.coordination.HeartbeatResponse;
 import org.granitepath.coordination.TaskId;
 import org.granitepath.coordination.WorkerCommand;
+import org.granitepath.coordination.WorkerPort;
 import org.granitepath.protocol.WorkerCodec;
 import org.granitepath.simulation.SimRuns.Run;
 
@@ -99,13 +99,9 @@
         return latest;
     }
 
-    boolean busy() {
-        return runs.busy();
-    }
-
-    /** Tasks that are here or on their way, by job. */
-    Map<String, Integer> held() {
-        return runs.held();
+    /** What is on the machine, exited attempts included. */
+    SimRuns runs() {
+        return runs;
     }
 
     /** How many such tasks fit here now, and could start. */
@@ -154,26 +150,6 @@
         changed = true;
     }
 
-    /** An attempt that no present controller knows of runs here. The rules are not told: nobody may start it. */
-    void plant(TaskId task, long attempt) {
-        Run run = new Run(task, attempt);
-        run.state = TaskState.RUNNING;
-        run.until = Long.MAX_VALUE;
-        runs.add(run);
-        changed = true;
-    }
-
-    /** Whether this attempt is listed here, exited or not. */
-    boolean lists(TaskId task, long attempt) {
-        return runs.get(task, attempt) != null;
-    }
-
-    /** Whether this attempt is here and has not exited. */
-    boolean holds(TaskId task, long attempt) {
-        Run run = runs.get(task, attempt);
-        return run != null && run.state != TaskState.EXITED;
-    }
-
     /** All tasks here that fit are over, each for this reason. */
     void endTasks(Predicate<JobSpec> which, Cause cause) {
         for (Run run : List.copyOf(runs.all())) {
@@ -183,11 +159,6 @@
         }
     }
 
-    /** The attempts here that have not exited. */
-    List<Run> live() {
-        return runs.all().stream().filter(run -> run.state != TaskState.EXITED).toList();
-    }
-
     private void killAll() {
         for (Run r : runs.all()) {
             leave(r);
@@ -352,8 +323,7 @@
     }
 
     /** A direct command. Null: hanging, no answer. */
-    org.granitepath.coordination.WorkerPort.Reply commands(
-            long withToken, long withSession, List<WorkerCommand> commands) {
+    WorkerPort.Reply commands(long withToken, long withSession, List<WorkerCommand> commands) {
         expireIfDue();
         boolean ok = withToken >= fencingToken && withSession == session;
         if (ok) {
@@ -361,7 +331,7 @@
             fencingToken = withToken;
             execute(commands);
         }
-        return new org.granitepath.coordination.WorkerPort.Reply(ok, heartbeat());
+        return new WorkerPort.Reply(ok, heartbeat());
     }
 
     boolean hangs() {
@@ -398,15 +368,10 @@
         Run r = new Run(o.task(), o.attempt());
         JobSpec spec = jobs.apply(o.task().job());
         runs.add(r);
-        if (spec == null || o.task().index() >= spec.tasks()) {
-            r.state = TaskState.EXITED;
-            r.cause = Cause.UNKNOWN_JOB;
-            return;
-        }
-        boolean busy = runs.holdsOther(r);
-        if (busy || !runs.hasRoom(spec, r)) {
+        Cause refusal = runs.refusal(spec, r);
+        if (refusal != Cause.NONE) {
             r.state = TaskState.EXITED;
-            r.cause = busy ? Cause.BUSY : Cause.NO_ROOM;
+            r.cause = refusal;
             return;
         }
         r.until = world.now()
--- a/src/test/java/org/granitepath/simulation/SimulationTest.java
+++ b/src/test/java/org/granitepath/simulation/SimulationTest.java
@@ -29,7 +29,7 @@
     /** Work must go on once the troubles are over. */
     static void assertRulesAndAllDone(Simulation s) {
         assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches());
+        assertEquals(List.of(), s.users.unfinishedBatches());
     }
 
     static Simulation withJobs(long seed, int jobs, long overMicros) {
@@ -39,9 +39,9 @@
     static Simulation withJobs(Simulation s, int jobs, long overMicros) {
         for (int i = 0; i < jobs; i++) {
             s.world.after(2 * SECOND + (long) (s.world.random.nextDouble() * overMicros), () -> {
-                JobSpec spec = s.randomJob();
-                s.submit(spec, spec.service() ? 60 * SECOND : s.world.random.nextInt(6) == 0 ? 12 * SECOND : -1);
-                s.pollUnknownJob();
+                JobSpec spec = s.jobs.randomJob();
+                s.users.submit(spec, spec.service() ? 60 * SECOND : s.world.random.nextInt(6) == 0 ? 12 * SECOND : -1);
+                s.users.pollUnknownJob();
             });
         }
         return s;
@@ -62,7 +62,7 @@
         Simulation s = withJobs(1, 25, 90 * SECOND);
         s.run(240 * SECOND);
         assertRulesAndAllDone(s);
-        assertTrue(s.doneTold > 5);
+        assertTrue(s.users.doneTold > 5);
     }
 
     @ParameterizedTest
@@ -75,7 +75,7 @@
         }
         s.run(600 * SECOND);
         assertRules(s);
-        assertEquals(List.of(), s.unfinishedBatches(), "work must go on once the troubles are over");
+        assertEquals(List.of(), s.users.unfinishedBatches(), "work must go on once the troubles are over");
     }
 
     private static void trouble(Simulation s) {
@@ -83,16 +83,16 @@
         World.Cut how = random.nextBoolean() ? World.Cut.HOLD : World.Cut.DROP;
         long time = (3 + random.nextInt(40)) * SECOND;
         switch (random.nextInt(14)) {
-            case 0 -> s.crash(s.leader(), 300_000 + random.nextInt(6_000_000));
-            case 1 -> s.crash(s.anyNode(), 300_000 + random.nextInt(6_000_000));
-            case 2 -> s.names.forEach(n -> s.crash(n, SECOND + random.nextInt(4_000_000)));
-            case 3 -> s.cut(s.leader(), SimState.NAME, how, time);
-            case 4 -> s.cutFromWorkers(s.leader(), how, time);
+            case 0 -> s.faults.crash(s.leader(), 300_000 + random.nextInt(6_000_000));
+            case 1 -> s.faults.crash(s.anyNode(), 300_000 + random.nextInt(6_000_000));
+            case 2 -> s.names.forEach(n -> s.faults.crash(n, SECOND + random.nextInt(4_000_000)));
+            case 3 -> s.faults.cut(s.leader(), SimState.NAME, how, time);
+            case 4 -> s.faults.cutFromWorkers(s.leader(), how, time);
             case 5 -> s.state.outage(time);
             case 6 -> s.cloud.outage(time);
             case 7 -> s.state.refuse(s.leader(), time);
-            case 8 -> s.cutZone(s.zoneOf(s.anyNode()), how, time);
-            case 9 -> s.freeze(s.leader(), time);
+            case 8 -> s.faults.cutZone(s.zoneOf(s.anyNode()), how, time);
+            case 9 -> s.faults.freeze(s.leader(), time);
             default -> machineTrouble(s, how, time);
         }
     }
@@ -105,7 +105,7 @@
         switch (s.world.random.nextInt(5)) {
             case 0 -> w.die();
             case 1 -> w.hangFor(time);
-            case 2 -> s.cutMachine(w, how, time);
+            case 2 -> s.faults.cutMachine(w, how, time);
             case 3 -> {
                 w.notice(8 * SECOND);
                 s.world.after(8 * SECOND, w::die);
@@ -119,15 +119,15 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void cancellationReachesTasksOfALeaderCutFromTheState(long seed) {
         Simulation s = new Simulation(seed);
-        JobSpec service = s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
-        s.submit(service, 40 * SECOND);
+        JobSpec service = s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
+        s.users.submit(service, 40 * SECOND);
         s.world.after(35 * SECOND, () -> {
             String leader = s.leader();
-            s.cut(leader, SimState.NAME, World.Cut.HOLD, 120 * SECOND);
+            s.faults.cut(leader, SimState.NAME, World.Cut.HOLD, 120 * SECOND);
             // The successors can't reach the workers: only the lease can end the tasks.
             for (String n : s.names) {
                 if (!n.equals(leader)) {
-                    s.cutFromWorkers(n, World.Cut.DROP, 120 * SECOND);
+                    s.faults.cutFromWorkers(n, World.Cut.DROP, 120 * SECOND);
                 }
             }
         });
@@ -146,7 +146,8 @@
         for (int i = 0; i < 12; i++) {
             s.world.after(
                     2 * SECOND + 8L * i * SECOND,
-                    () -> s.submit(s.job(false, 40, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
+                    () -> s.users.submit(
+                            s.jobs.job(false, 40, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
         }
         SimWorker[] cut = new SimWorker[1];
         int[] before = new int[1];
@@ -154,9 +155,9 @@
             cut[0] = s.anyWorker();
             before[0] = s.commands.startsOf(cut[0].id);
             if (seed % 2 == 0) {
-                s.deafen(cut[0], 150 * SECOND);
+                s.faults.deafen(cut[0], 150 * SECOND);
             } else {
-                s.mute(cut[0], 150 * SECOND);
+                s.faults.mute(cut[0], 150 * SECOND);
             }
         });
         s.run(200 * SECOND, 700 * SECOND);
@@ -176,7 +177,7 @@
     void mostMachinesStopHearing(long seed) {
         Simulation s = new Simulation(seed, 3, 1);
         for (int i = 0; i < 8; i++) {
-            s.submit(s.job(false, 200, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(false, 200, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
         }
         List<SimWorker> deaf = new ArrayList<>();
         List<Integer> before = new ArrayList<>();
@@ -185,7 +186,7 @@
                 () -> s.cloud.workers().stream().limit(5).forEach(w -> {
                     deaf.add(w);
                     before.add(s.commands.startsOf(w.id));
-                    s.deafen(w, 80 * SECOND);
+                    s.faults.deafen(w, 80 * SECOND);
                 }));
         s.run(125 * SECOND);
         for (int i = 0; i < deaf.size(); i++) {
@@ -203,7 +204,8 @@
         Simulation s = new Simulation(15, 3, 1);
         s.world.after(
                 2 * SECOND,
-                () -> s.submit(s.job(false, 900, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
+                () -> s.users.submit(
+                        s.jobs.job(false, 900, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1));
         SimWorker[] gone = new SimWorker[1];
         int[] before = new int[1];
         s.world.after(40 * SECOND, () -> {
@@ -212,7 +214,7 @@
             gone[0].die();
             s.world.after(30 * SECOND, () -> before[0] = s.commands.startsOf(gone[0].id));
             for (int i = 31; i < 60; i += 7) {
-                s.world.after(i * SECOND, () -> s.deliver(late));
+                s.world.after(i * SECOND, () -> s.faults.deliver(late));
             }
         });
         s.run(110 * SECOND);
@@ -228,7 +230,8 @@
         s.world.lateCopies = 0.25;
         for (int i = 0; i < 5; i++) {
             s.world.after(
-                    (20 + 25 * i) * SECOND, () -> s.crash(s.leader(), 300_000 + s.world.random.nextInt(5_000_000)));
+                    (20 + 25 * i) * SECOND,
+                    () -> s.faults.crash(s.leader(), 300_000 + s.world.random.nextInt(5_000_000)));
             s.world.after((32 + 25 * i) * SECOND, () -> machineTrouble(s, World.Cut.HOLD, 15 * SECOND));
         }
         s.run(180 * SECOND, 420 * SECOND);
@@ -243,11 +246,13 @@
     void leaderKeepsOnlyItsWorkers(long seed) {
         Simulation s = withJobs(seed, 25, 80 * SECOND);
         for (int i = 0; i < 3; i++) {
-            s.submit(s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), (30 + 6 * i) * SECOND);
+            s.users.submit(
+                    s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0), (30 + 6 * i) * SECOND);
         }
         s.world.after(
                 32 * SECOND,
-                () -> s.cutFromPeersAndState(s.leader(), seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 70 * SECOND));
+                () -> s.faults.cutFromPeersAndState(
+                        s.leader(), seed % 2 == 0 ? World.Cut.HOLD : World.Cut.DROP, 70 * SECOND));
         s.run(110 * SECOND, 300 * SECOND);
         assertRulesAndAllDone(s);
     }
@@ -262,20 +267,20 @@
         Simulation s = withJobs(seed, 10, 30 * SECOND);
         s.world.after(40 * SECOND, () -> {
             String former = s.leader();
-            s.cut(former, SimState.NAME, World.Cut.HOLD, 4 * SECOND);
+            s.faults.cut(former, SimState.NAME, World.Cut.HOLD, 4 * SECOND);
             List<SimWorker> all = s.cloud.workers();
             for (int i = 0; i < all.size(); i += 2) {
                 String host = all.get(i).id;
                 s.names.stream()
                         .filter(n -> !n.equals(former))
-                        .forEach(n -> s.cut(n, host, World.Cut.DROP, 8 * SECOND));
+                        .forEach(n -> s.faults.cut(n, host, World.Cut.DROP, 8 * SECOND));
             }
             for (int i = 0; i < 12; i++) {
                 s.world.after(
                         3_800_000 + i * 30_000L,
-                        () -> s.submitAt(
+                        () -> s.users.submitAt(
                                 former,
-                                s.job(false, 5, Priority.STANDARD, "free", false, false, false, 20 * SECOND, 0)));
+                                s.jobs.job(false, 5, Priority.STANDARD, "free", false, false, false, 20 * SECOND, 0)));
             }
         });
         s.run(60 * SECOND, 300 * SECOND);
@@ -295,17 +300,17 @@
                 seed, new Simulation.Shape(2, 5, 2 * SECOND, 27 * SECOND, 46 * SECOND, 1000, 200, 2048, 8, 1_000));
         JobSpec[] services = new JobSpec[6];
         for (int i = 0; i < services.length; i++) {
-            services[i] = s.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
-            s.submit(services[i], -1);
-            s.submit(s.job(false, 30, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
+            services[i] = s.jobs.job(true, 4, Priority.CRITICAL, "free", false, true, false, 0, 0);
+            s.users.submit(services[i], -1);
+            s.users.submit(s.jobs.job(false, 30, Priority.STANDARD, "free", true, false, false, 8 * SECOND, 0), -1);
         }
         s.world.after(45 * SECOND, () -> {
             String leader = s.leader();
             String other = s.names.get(1 - s.names.indexOf(leader));
-            s.freeze(leader, 24 * SECOND);
-            s.cutFromPeersAndState(leader, World.Cut.DROP, 70 * SECOND);
-            s.cutFromWorkers(other, World.Cut.DROP, 70 * SECOND);
-            List.of(services).forEach(j -> s.cancelAt(other, j.id()));
+            s.faults.freeze(leader, 24 * SECOND);
+            s.faults.cutFromPeersAndState(leader, World.Cut.DROP, 70 * SECOND);
+            s.faults.cutFromWorkers(other, World.Cut.DROP, 70 * SECOND);
+            List.of(services).forEach(j -> s.users.cancelAt(other, j.id()));
         });
         s.run(120 * SECOND, 400 * SECOND);
         assertRulesAndAllDone(s);
@@ -317,10 +322,10 @@
     void aPauseIsNotAFailure(long seed) {
         Simulation s = new Simulation(
                 seed, new Simulation.Shape(3, 1, 5 * SECOND, 11 * SECOND, 31 * SECOND, 1000, 200, 2048, 8, 1_000));
-        s.submit(s.job(true, 2, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+        s.users.submit(s.jobs.job(true, 2, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         // In an outage no successor is found, and the leader is the leader still when all goes on.
         s.world.after(60 * SECOND, () -> s.state.outage(12_900_000));
-        s.world.after(61 * SECOND, () -> s.freeze(s.leader(), 12 * SECOND));
+        s.world.after(61 * SECOND, () -> s.faults.freeze(s.leader(), 12 * SECOND));
         s.run(85 * SECOND, 200 * SECOND);
         assertRules(s);
         assertEquals(List.of(), s.cloud.returnedBusy, "returned with tasks on them");
@@ -335,16 +340,16 @@
     void workGoesOnInAZoneThatIsCutOff(long seed) {
         Simulation s = new Simulation(seed, 5, 5);
         for (int i = 0; i < 10; i++) {
-            s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
-            s.submit(s.job(false, 20, Priority.STANDARD, "free", true, false, false, 25 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(false, 20, Priority.STANDARD, "free", true, false, false, 25 * SECOND, 0), -1);
         }
         long[] before = new long[1];
         long[] least = {Long.MAX_VALUE};
         s.world.after(50 * SECOND, () -> {
             before[0] = s.rules.replicasUp();
-            s.cutZone(seed % 2 == 0 ? "north" : "south", World.Cut.HOLD, 22 * SECOND);
+            s.faults.cutZone(seed % 2 == 0 ? "north" : "south", World.Cut.HOLD, 22 * SECOND);
             if (seed > 112) {
-                s.world.after(6 * SECOND, () -> s.crash(s.leader(), 300_000));
+                s.world.after(6 * SECOND, () -> s.faults.crash(s.leader(), 300_000));
             }
         });
         for (int i = 0; i < 30; i++) {
--- a/src/test/java/org/granitepath/simulation/TakeoverTest.java
+++ b/src/test/java/org/granitepath/simulation/TakeoverTest.java
@@ -22,7 +22,7 @@
         for (int i = 0; i < 12; i++) {
             s.world.after(
                     (20 + 6 * i) * SECOND + s.world.random.nextInt(4_000_000),
-                    () -> s.crash(s.leader(), 500_000 + s.world.random.nextInt(3_000_000)));
+                    () -> s.faults.crash(s.leader(), 500_000 + s.world.random.nextInt(3_000_000)));
         }
         s.run(300 * SECOND);
         assertRulesAndAllDone(s);
@@ -34,13 +34,13 @@
     void leaderCutFromItsWorkersStepsDown(long seed) {
         Simulation s = new Simulation(seed, 5, 12);
         for (int i = 0; i < 8; i++) {
-            s.submit(s.job(false, 100, Priority.STANDARD, "free", true, false, false, 30 * SECOND, 0), -1);
-            s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(false, 100, Priority.STANDARD, "free", true, false, false, 30 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         String[] cut = new String[1];
         s.world.after(50 * SECOND, () -> {
             cut[0] = s.leader();
-            s.cutFromWorkers(cut[0], World.Cut.DROP, 60 * SECOND);
+            s.faults.cutFromWorkers(cut[0], World.Cut.DROP, 60 * SECOND);
         });
         s.run(50 * SECOND + Simulation.LEASE);
         assertNotEquals(cut[0], s.leader(), "the leader that reaches no machine is still the leader");
@@ -59,16 +59,16 @@
     void takeoverReturnsNoHealthyMachine(long seed) {
         Simulation s = new Simulation(seed, 5, 20);
         for (int i = 0; i < 8; i++) {
-            s.submit(s.job(false, 150, Priority.STANDARD, "free", true, false, false, 30 * SECOND, 0), -1);
-            s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(false, 150, Priority.STANDARD, "free", true, false, false, 30 * SECOND, 0), -1);
+            s.users.submit(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         List<String> cut = new ArrayList<>();
         s.world.after(45 * SECOND, () -> {
-            s.cutFromPeersAndState(s.leader(), World.Cut.DROP, 40 * SECOND);
+            s.faults.cutFromPeersAndState(s.leader(), World.Cut.DROP, 40 * SECOND);
             List<SimWorker> all = s.cloud.workers();
             for (int i = 0; i < all.size(); i += 7) {
                 cut.add(all.get(i).id);
-                s.cutMachine(all.get(i), World.Cut.HOLD, 25 * SECOND);
+                s.faults.cutMachine(all.get(i), World.Cut.HOLD, 25 * SECOND);
             }
         });
         s.run(100 * SECOND);
@@ -89,7 +89,7 @@
             boolean leader = i % 3 > 0;
             s.world.after(
                     20 * SECOND + 2L * i * SECOND + s.world.random.nextInt(2_000_000),
-                    () -> s.crash(leader ? s.leader() : s.anyNode(), 20_000 + s.world.random.nextInt(400_000)));
+                    () -> s.faults.crash(leader ? s.leader() : s.anyNode(), 20_000 + s.world.random.nextInt(400_000)));
             s.world.after(21 * SECOND + 2L * i * SECOND, () -> {
                 SimWorker w = s.anyWorker();
                 if (w != null) {
--- a/src/test/java/org/granitepath/simulation/UpgradeTest.java
+++ b/src/test/java/org/granitepath/simulation/UpgradeTest.java
@@ -27,13 +27,13 @@
         Simulation s = new Simulation(seed, shape);
         s.nextLimits = NEXT;
         for (int i = 0; i < 60; i++) {
-            s.submit(s.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
+            s.users.submit(s.jobs.job(true, 6, Priority.CRITICAL, "free", false, true, false, 0, 0), -1);
         }
         for (int i = 0; i < 12; i++) {
             s.world.after(
                     (3 + 2L * i) * SECOND,
-                    () -> s.submit(
-                            s.job(false, 60, Priority.STANDARD, "free", true, false, false, 25 * SECOND, 0), -1));
+                    () -> s.users.submit(
+                            s.jobs.job(false, 60, Priority.STANDARD, "free", true, false, false, 25 * SECOND, 0), -1));
         }
         return withJobs(s, 20, 150 * SECOND);
     }
@@ -47,14 +47,14 @@
         s.world.after(39 * SECOND, () -> largest[0] = s.state.largestValue());
         for (int i = 0; i < s.names.size(); i++) {
             String node = s.names.get((int) (seed + i) % s.names.size());
-            s.world.after((40 + 10L * i) * SECOND, () -> s.upgrade(node, 4 * SECOND));
+            s.world.after((40 + 10L * i) * SECOND, () -> s.faults.upgrade(node, 4 * SECOND));
         }
         // One that dies before its turn comes back as it was, and may lead the others meanwhile.
-        s.world.after(53 * SECOND, () -> s.crash(s.leader(), 200_000));
-        s.world.after(64 * SECOND, () -> s.crash(s.leader(), SECOND));
+        s.world.after(53 * SECOND, () -> s.faults.crash(s.leader(), 200_000));
+        s.world.after(64 * SECOND, () -> s.faults.crash(s.leader(), SECOND));
         s.world.after(100 * SECOND, () -> s.state.lowerLimits(NEXT));
-        s.world.after(115 * SECOND, () -> s.crash(s.leader(), 2 * SECOND));
-        s.world.after(130 * SECOND, () -> s.names.forEach(n -> s.crash(n, 2 * SECOND)));
+        s.world.after(115 * SECOND, () -> s.faults.crash(s.leader(), 2 * SECOND));
+        s.world.after(130 * SECOND, () -> s.names.forEach(n -> s.faults.crash(n, 2 * SECOND)));
         s.run(140 * SECOND, 400 * SECOND);
         assertTrue(largest[0] > NEXT.valueBytes(), "no value of the former version is larger than the next limit");
         assertRulesAndAllDone(s);
@@ -67,10 +67,10 @@
     void largeValuesLeftByTheFormerVersion(long seed) {
         Simulation s = busyDeployment(seed, PRODUCTION);
         s.world.after(40 * SECOND, () -> {
-            s.names.forEach(n -> s.upgrade(n, SECOND));
+            s.names.forEach(n -> s.faults.upgrade(n, SECOND));
             s.state.lowerLimits(NEXT);
         });
-        s.world.after(46 * SECOND, () -> s.crash(s.leader(), SECOND));
+        s.world.after(46 * SECOND, () -> s.faults.crash(s.leader(), SECOND));
         s.run(60 * SECOND, 300 * SECOND);
         assertRulesAndAllDone(s);
         assertEquals(List.of(), s.rules.broken);
@@ -84,11 +84,11 @@
         Simulation s = busyDeployment(
                 seed, new Simulation.Shape(5, 60, 2 * SECOND, 13 * SECOND, 33 * SECOND, 150, 20, 12 * 1024, 8, 1_500));
         s.world.after(40 * SECOND, () -> {
-            s.names.forEach(n -> s.upgrade(n, SECOND));
+            s.names.forEach(n -> s.faults.upgrade(n, SECOND));
             s.state.lowerLimits(NEXT);
         });
-        s.world.after(60 * SECOND, () -> s.crash(s.leader(), SECOND));
-        s.world.after(80 * SECOND, () -> s.names.forEach(n -> s.crash(n, SECOND)));
+        s.world.after(60 * SECOND, () -> s.faults.crash(s.leader(), SECOND));
+        s.world.after(80 * SECOND, () -> s.names.forEach(n -> s.faults.crash(n, SECOND)));
         s.run(90 * SECOND, 400 * SECOND);
         assertRulesAndAllDone(s);
     }
