--- /dev/null
+++ b/src/test/java/org/granitepath/loopback/HistoryTest.java
@@ -0,0 +1,31 @@
+package org.granitepath.loopback;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The history notices planted violations. */
+class HistoryTest {
+    private final History history = new History();
+
+    @Test
+    void aTaskOnTwoMachinesIsAViolation() {
+        history.begun("a", "run-1/0", 1);
+        history.left("a", "run-1/0", 1, false);
+        history.begun("b", "run-1/0", 2);
+        assertEquals(List.of(), history.violations());
+        history.begun("c", "run-1/0", 3);
+        assertEquals(List.of("runs twice: run-1/0 on b and c"), history.violations());
+    }
+
+    @Test
+    void aStartOrderedTwiceInASessionIsAViolation() {
+        history.ordered("a", 1, "run-1/0", 1);
+        history.ordered("a", 2, "run-1/0", 1);
+        history.ordered("a", 1, "run-1/0", 2);
+        assertEquals(List.of(), history.violations());
+        history.ordered("a", 1, "run-1/0", 1);
+        assertEquals(List.of("ordered twice: run-1/0 attempt 1 on a"), history.violations());
+    }
+}
--- a/src/test/java/org/granitepath/simulation/RulesTest.java
+++ b/src/test/java/org/granitepath/simulation/RulesTest.java
@@ -286,4 +286,18 @@
         rules.told("run-1", status("run-1", JobState.RUNNING));
         assertBroken("went_back");
     }
+
+    @Test
+    void commandsBeforeTheMachineIsHeardAndStartsSentTwice() {
+        SimCommands commands = new SimCommands(world, rules);
+        List<WorkerCommand> start = List.of(WorkerCommand.start(new TaskId("run-1", 0), 5));
+        commands.sent(1, "n0", "a", List.of());
+        assertEquals(List.of(), rules.broken);
+        commands.sent(1, "n0", "a", start);
+        assertTrue(rules.broken.get(0).startsWith("commanded_unheard"), rules.broken.toString());
+        commands.heard(2, "a");
+        commands.sent(2, "n0", "a", start);
+        assertTrue(rules.broken.get(1).startsWith("start_repeated"), rules.broken.toString());
+        assertEquals(2, rules.broken.size());
+    }
 }
