Loopback stand-ins: one function for the job of a task; a question nobody asked is gone

The job of a task's name was worked out in four places of the stand-ins; History.jobOf serves them all. ControllerProcess.alive had no caller.

--- a/src/test/java/org/granitepath/loopback/ControllerProcess.java
+++ b/src/test/java/org/granitepath/loopback/ControllerProcess.java
@@ -65,10 +65,6 @@
         process.waitFor();
     }
 
-    boolean alive() {
-        return process != null && process.isAlive();
-    }
-
     @Override
     public void close() {
         if (process != null) {
--- a/src/test/java/org/granitepath/loopback/History.java
+++ b/src/test/java/org/granitepath/loopback/History.java
@@ -21,7 +21,7 @@
     /** One event. */
     record Event(Kind kind, String host, String task, long attempt) {
         String job() {
-            return task.substring(0, task.lastIndexOf('/'));
+            return jobOf(task);
         }
     }
 
@@ -33,6 +33,11 @@
     private final Map<String, String> on = new HashMap<>();
     private final Set<String> completed = new HashSet<>();
 
+    /** The job of a task, by the task's name. */
+    static String jobOf(String task) {
+        return task.substring(0, task.lastIndexOf('/'));
+    }
+
     /** A worker takes a start in: at most once for each attempt in a session. */
     synchronized void ordered(String host, long session, String task, long attempt) {
         if (!orders.add(new Order(host, session, task, attempt))) {
@@ -80,14 +85,10 @@
     }
 
     synchronized long running(Predicate<String> jobs) {
-        return on.keySet().stream()
-                .filter(task -> jobs.test(task.substring(0, task.lastIndexOf('/'))))
-                .count();
+        return on.keySet().stream().filter(task -> jobs.test(jobOf(task))).count();
     }
 
     synchronized long completed(Predicate<String> jobs) {
-        return completed.stream()
-                .filter(task -> jobs.test(task.substring(0, task.lastIndexOf('/'))))
-                .count();
+        return completed.stream().filter(task -> jobs.test(jobOf(task))).count();
     }
 }
--- a/src/test/java/org/granitepath/loopback/WorkerStandIn.java
+++ b/src/test/java/org/granitepath/loopback/WorkerStandIn.java
@@ -96,16 +96,12 @@
     /** Tasks of such jobs end here, stopped by nobody who is there any more. */
     synchronized void endTasks(Predicate<String> jobs) {
         runs.forEach((key, run) -> {
-            if (run.cause == null && jobs.test(job(key.task()))) {
+            if (run.cause == null && jobs.test(History.jobOf(key.task()))) {
                 exit(key, run, "stopped");
             }
         });
     }
 
-    private static String job(String task) {
-        return task.substring(0, task.lastIndexOf('/'));
-    }
-
     // ---- reports -----------------------------------------------------------------------------------------------
 
     private void report() {
@@ -281,7 +277,7 @@
             return;
         }
         history.begun(id, key.task(), key.attempt());
-        long millis = history.wasCompleted(key.task()) ? 0 : runTimes.millisOf(job(key.task()));
+        long millis = history.wasCompleted(key.task()) ? 0 : runTimes.millisOf(History.jobOf(key.task()));
         run.endNanos = millis < 0 ? 0 : System.nanoTime() + millis * 1_000_000;
     }
 
