ApiServer: log a response that comes after the exchange was answered

Two causes were possible: the admission code calls back with an acceptance before the commit, or the server ends the exchange before admission has called back. Neither log nor metrics told them apart, because sendJson dropped a late response silently.

It now logs request, status and the status that was sent before.

--- a/src/main/java/org/granitepath/transport/ApiServer.java
+++ b/src/main/java/org/granitepath/transport/ApiServer.java
@@ -12,9 +12,13 @@
 import org.granitepath.protocol.HttpStatus;
 import org.granitepath.protocol.SubmissionCodec;
 import org.granitepath.protocol.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP server of the API, which users, workers and health checks use. */
 final class ApiServer {
+    private static final Logger LOG = LoggerFactory.getLogger(ApiServer.class);
+
     private static final String HEARTBEAT_PATH = "/agent/beat";
     private static final String JOBS_PATH = "/submissions";
     private static final String JOB_PREFIX = JOBS_PATH + "/";
@@ -141,6 +145,12 @@
 
     private static void sendJson(HttpServerExchange exchange, int status, String text) {
         if (exchange.isResponseStarted()) {
+            LOG.error(
+                    "{} {}: the response with status {} is not sent, the exchange was already answered with status {}",
+                    exchange.getRequestMethod(),
+                    exchange.getRequestPath(),
+                    status,
+                    exchange.getStatusCode());
             return;
         }
         exchange.setStatusCode(status);
