Server: keep an exchange open until it is answered, also when its body comes late

What callers saw: a submission or cancellation whose body arrived after its head got status 200 without a body at once, which means accepted, before it was on record and also when it never would be.

Cause: for a late body Undertow calls a second handler, and ends the exchange when it returns without a dispatch, with the status set by then, 200 by default. Only the handler of the head was dispatched; the one of the body returned at once, since the answer follows the commit.

Change: RequestDispatcher dispatches both handlers, for users, workers and peers, and gives each exchange the status 500 until its handler sets another. A dispatched exchange stays open until it is answered, and one that ends without an answer can no longer be taken for an acceptance. PeerServer sets its statuses explicitly; an unreadable body from a peer is 400 instead of 500.

--- a/src/main/java/org/granitepath/protocol/HttpStatus.java
+++ b/src/main/java/org/granitepath/protocol/HttpStatus.java
@@ -22,6 +22,8 @@
     public static final int MISDIRECTED_REQUEST = 421;
     /** The request is well-formed, but can never be fulfilled. */
     public static final int UNPROCESSABLE_CONTENT = 422;
+    /** The server failed to process the request. */
+    public static final int INTERNAL_SERVER_ERROR = 500;
     /** The request cannot be processed at present; the client may retry it later. */
     public static final int SERVICE_UNAVAILABLE = 503;
 
--- a/src/main/java/org/granitepath/transport/ApiServer.java
+++ b/src/main/java/org/granitepath/transport/ApiServer.java
@@ -126,14 +126,11 @@
         sendJson(exchange, WorkerCodec.httpStatus(response), WorkerCodec.encode(response));
     }
 
-    /** The body may arrive in a later event than the head of the request, so its handler has its own error logging. */
-    private static void readBody(HttpServerExchange exchange, Consumer<String> callback) {
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, bytes) -> EventLoop.withErrorLogging(
-                                        () -> callback.accept(new String(bytes, StandardCharsets.UTF_8)))
-                                .run(),
-                        (received, cause) -> sendJson(received, HttpStatus.BAD_REQUEST, UNREADABLE_BODY));
+    private static void readBody(HttpServerExchange exchange, Consumer<String> handler) {
+        RequestDispatcher.readBody(
+                exchange,
+                body -> handler.accept(new String(body, StandardCharsets.UTF_8)),
+                () -> sendJson(exchange, HttpStatus.BAD_REQUEST, UNREADABLE_BODY));
     }
 
     private static void respond(HttpServerExchange exchange, JobResponse response) {
--- a/src/main/java/org/granitepath/transport/HttpListener.java
+++ b/src/main/java/org/granitepath/transport/HttpListener.java
@@ -3,7 +3,6 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 import java.util.function.Consumer;
 import org.xnio.Options;
 
@@ -37,8 +36,7 @@
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
                 .addHttpListener(address.port(), address.host())
-                .setHandler(exchange -> exchange.dispatch(
-                        SameThreadExecutor.INSTANCE, EventLoop.withErrorLogging(() -> handler.accept(exchange))))
+                .setHandler(exchange -> RequestDispatcher.start(exchange, () -> handler.accept(exchange)))
                 .build();
         server.start();
         return server;
--- a/src/main/java/org/granitepath/transport/PeerServer.java
+++ b/src/main/java/org/granitepath/transport/PeerServer.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 import org.granitepath.coordination.Controller;
 import org.granitepath.coordination.ports.PeerPort;
 import org.granitepath.protocol.HttpStatus;
@@ -29,14 +30,22 @@
         switch (exchange.getRequestPath()) {
             case METRICS_PATH -> send(exchange, TEXT, metrics.text());
             case RECOVERY_PATH -> send(exchange, JSON, RecoveryStatusCodec.encode(controller.recoveryStatus()));
-            case PeerClient.STATUS_PATH -> exchange.getRequestReceiver().receiveFullBytes(this::exchangeStatus);
-            case PeerClient.CANCELLATION_PATH ->
-                exchange.getRequestReceiver().receiveFullBytes(this::receiveCancellation);
-            default -> exchange.setStatusCode(HttpStatus.NOT_FOUND).endExchange();
+            case PeerClient.STATUS_PATH -> readBody(exchange, body -> exchangeStatus(exchange, body));
+            case PeerClient.CANCELLATION_PATH -> readBody(exchange, body -> receiveCancellation(exchange, body));
+            default -> end(exchange, HttpStatus.NOT_FOUND);
         }
     }
 
+    private static void readBody(HttpServerExchange exchange, Consumer<byte[]> handler) {
+        RequestDispatcher.readBody(exchange, handler, () -> end(exchange, HttpStatus.BAD_REQUEST));
+    }
+
+    private static void end(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status).endExchange();
+    }
+
     private static void send(HttpServerExchange exchange, String contentType, String text) {
+        exchange.setStatusCode(HttpStatus.OK);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
         exchange.getResponseSender().send(text);
     }
@@ -44,20 +53,20 @@
     private void exchangeStatus(HttpServerExchange exchange, byte[] bytes) {
         PeerPort.PeerStatus peerStatus = PeerCodec.decodeStatus(bytes);
         if (peerStatus == null) {
-            exchange.setStatusCode(HttpStatus.BAD_REQUEST).endExchange();
+            end(exchange, HttpStatus.BAD_REQUEST);
             return;
         }
         byte[] ownStatus = PeerCodec.encode(controller.handlePeerStatus(peerStatus));
-        exchange.getResponseSender().send(ByteBuffer.wrap(ownStatus));
+        exchange.setStatusCode(HttpStatus.OK).getResponseSender().send(ByteBuffer.wrap(ownStatus));
     }
 
     private void receiveCancellation(HttpServerExchange exchange, byte[] bytes) {
         PeerPort.CancellationNotice notice = PeerCodec.decodeCancellation(bytes);
         if (notice == null) {
-            exchange.setStatusCode(HttpStatus.BAD_REQUEST);
-        } else {
-            controller.handleCancellationNotice(notice);
+            end(exchange, HttpStatus.BAD_REQUEST);
+            return;
         }
-        exchange.endExchange();
+        controller.handleCancellationNotice(notice);
+        end(exchange, HttpStatus.OK);
     }
 }
--- a/src/test/java/org/granitepath/loopback/Cluster.java
+++ b/src/test/java/org/granitepath/loopback/Cluster.java
@@ -159,9 +159,14 @@
         return jobs.get(job).service();
     }
 
+    /** Tells the workers how long the tasks of a job run, which a test then submits by itself. */
+    void announce(Job job) {
+        jobs.put(job.id(), job);
+    }
+
     /** Submits a job to one controller after the other until one has accepted it. */
     void submit(Job job) throws InterruptedException {
-        jobs.put(job.id(), job);
+        announce(job);
         String body = job.submission();
         for (int i = 0; ; i++) {
             int status = controllers
--- a/src/test/java/org/granitepath/loopback/ControllerProcess.java
+++ b/src/test/java/org/granitepath/loopback/ControllerProcess.java
@@ -40,6 +40,11 @@
         this.log = log;
     }
 
+    /** Returns HOST:PORT of the API for users and workers. */
+    String address() {
+        return address;
+    }
+
     void start() throws IOException {
         if (!Files.exists(JAR)) {
             throw new IOException(JAR + " is missing: the test runs after packaging");
