RequestDispatcher: answer a request with 500 when its handler fails

What callers saw: nothing. A handler that threw left its exchange open without an answer, until the client gave up (users after 5 s, workers after 4 s), and its connection stayed open until then.

Cause: the exception was logged by the event loop, and nobody ended the exchange.

Change: the exchange ends with 500, which users and workers retry elsewhere; the exception is logged as before.

Test: RequestDispatcherTest.failingHandlerIsAnsweredWithAnError; its 3 cases timed out before, and pass now.

--- a/src/main/java/org/granitepath/transport/HttpListener.java
+++ b/src/main/java/org/granitepath/transport/HttpListener.java
@@ -19,8 +19,8 @@
     private HttpListener() {}
 
     /**
-     * Opens a listening socket. Requests are handled on the event loop. If a handler fails, the error is logged and
-     * other requests are not affected.
+     * Opens a listening socket. Requests are handled on the event loop. If a handler fails, the error is logged, its
+     * request is answered with 500 and other requests are not affected.
      *
      * @param backlog the maximum number of connections that wait to be accepted
      * @param handler handles each request
--- a/src/main/java/org/granitepath/transport/RequestDispatcher.java
+++ b/src/main/java/org/granitepath/transport/RequestDispatcher.java
@@ -37,6 +37,19 @@
     }
 
     private static void dispatch(HttpServerExchange exchange, Runnable handler) {
-        exchange.dispatch(SameThreadExecutor.INSTANCE, EventLoop.withErrorLogging(handler));
+        exchange.dispatch(SameThreadExecutor.INSTANCE, EventLoop.withErrorLogging(() -> runOrEnd(exchange, handler)));
+    }
+
+    /** Runs the handler. If it fails, ends the exchange with an error, so that the client does not wait in vain. */
+    private static void runOrEnd(HttpServerExchange exchange, Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            if (!exchange.isResponseStarted()) {
+                exchange.setStatusCode(HttpStatus.INTERNAL_SERVER_ERROR);
+            }
+            exchange.endExchange();
+            throw e;
+        }
     }
 }
--- a/src/test/java/org/granitepath/transport/RequestDispatcherTest.java
+++ b/src/test/java/org/granitepath/transport/RequestDispatcherTest.java
@@ -52,6 +52,14 @@
                         exchange,
                         body -> answerLater(exchange, HttpStatus.CREATED, body.length + " bytes"),
                         () -> answerLater(exchange, HttpStatus.BAD_REQUEST, "unreadable"));
+            case "/failing" ->
+                RequestDispatcher.readBody(
+                        exchange,
+                        body -> {
+                            throw new IllegalStateException("on purpose");
+                        },
+                        () -> {});
+            case "/failing-early" -> throw new IllegalStateException("on purpose");
             case "/ended" -> RequestDispatcher.readBody(exchange, body -> exchange.endExchange(), () -> {});
             default -> exchange.endExchange();
         }
@@ -126,6 +134,20 @@
         assertTrue(response.startsWith("HTTP/1.1 500 "), response);
     }
 
+    /** The server must answer at once: a client would otherwise wait, and its connection would stay open. */
+    @ParameterizedTest
+    @MethodSource("failing")
+    void failingHandlerIsAnsweredWithAnError(List<String> packets) throws Exception {
+        String response = exchange(packets);
+        assertTrue(response.startsWith("HTTP/1.1 500 "), response);
+    }
+
+    private static Stream<List<String>> failing() {
+        String head = head("/failing", "Content-Length: 2");
+        return Stream.of(
+                List.of(head + "{}"), List.of(head, "{}"), List.of(head("/failing-early", "Content-Length: 0")));
+    }
+
     private static Stream<List<String>> unanswered() {
         String head = head("/ended", "Content-Length: 2");
         return Stream.of(List.of(head + "{}"), List.of(head, "{}"), List.of(head("/other", "Content-Length: 0")));
