--- a/src/main/java/org/granitepath/coordination/fleet/InventoryLayout.java
+++ b/src/main/java/org/granitepath/coordination/fleet/InventoryLayout.java
@@ -44,8 +44,6 @@
         this.machineById = machineById;
     }
 
-    // ---- parts found in the store when the term begins ---------------------------------------------------------
-
     /** Adds the next stored part, which holds these machines. */
     void addStoredPart(List<Machine> machines) {
         InventoryPart part = new InventoryPart();
@@ -83,8 +81,6 @@
                 .toList();
     }
 
-    // ---- adding and removing machines --------------------------------------------------------------------------
-
     /** Adds the machine to the first part with space for its row, and returns the number of that part. */
     int add(Machine machine) {
         int part = firstPartWithSpace(InventoryPart.rowBytes(machine));
@@ -121,8 +117,6 @@
         machine.inventory().assignPart(part);
     }
 
-    // ---- splits ------------------------------------------------------------------------------------------------
-
     private void split(int part, List<Machine> machines) {
         List<List<Machine>> groups = groupByPartSize(machines);
         if (groups.size() > maxPartsPerSplit) {
@@ -198,8 +192,6 @@
         return unsplittableParts;
     }
 
-    // ---- parts -------------------------------------------------------------------------------------------------
-
     /** Returns the number of parts, stored or not. */
     int partCount() {
         return parts.size();
--- a/src/main/java/org/granitepath/coordination/fleet/MachineInventory.java
+++ b/src/main/java/org/granitepath/coordination/fleet/MachineInventory.java
@@ -60,8 +60,6 @@
         return Objects.requireNonNull(fleet.machine(id), "a machine of the inventory must be in the fleet");
     }
 
-    // ---- taking over -------------------------------------------------------------------------------------------
-
     /**
      * Reads the machines that are stored when the term begins, and returns them with the fencing token of this term.
      * Parts that exceed the size limit are scheduled to be split.
@@ -95,8 +93,6 @@
         return reader.unreadablePartCount();
     }
 
-    // ---- adding and removing machines --------------------------------------------------------------------------
-
     /** Adds the machine to the inventory and schedules the write. */
     void add(Machine machine) {
         writer.writeSoon(layout.add(machine));
@@ -107,8 +103,6 @@
         writer.writeSoon(layout.remove(machine));
     }
 
-    // ---- new fencing tokens ------------------------------------------------------------------------------------
-
     /**
      * Requests a higher fencing token for the machine, which takes no tasks until the store holds the token. For
      * example, a higher token is the only protection against the delayed execution of a direct command that got no
--- a/src/main/java/org/granitepath/coordination/model/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/model/ActiveJob.java
@@ -91,8 +91,6 @@
         return scheduling;
     }
 
-    // ---- life cycle --------------------------------------------------------------------------------------------
-
     /** Returns the phase of the job's life cycle. */
     public Phase phase() {
         return phase;
@@ -128,8 +126,6 @@
         transition(Phase.ENDED, outcome);
     }
 
-    // ---- counts ------------------------------------------------------------------------------------------------
-
     /** Returns the number of tasks that were handed out and are not known to have ended: placed or unconfirmed. */
     public int runningTasks() {
         return placements.size() + numbers.unconfirmedCount();
@@ -155,8 +151,6 @@
         return numbers.isDone(task);
     }
 
-    // ---- claims ------------------------------------------------------------------------------------------------
-
     /** Returns how many tasks are claimed in the store. They are the lowest numbers, and belong to this leader. */
     public int claimedTasks() {
         return numbers.claimedTasks();
@@ -187,8 +181,6 @@
         return numbers.hasStartableTask();
     }
 
-    // ---- tasks -------------------------------------------------------------------------------------------------
-
     /** Takes the next task to start and returns its number. */
     public int takeTask() {
         return numbers.take();
@@ -253,8 +245,6 @@
         numbers.markAllDone(spec.tasks());
     }
 
-    // ---- unconfirmed tasks -------------------------------------------------------------------------------------
-
     /** Returns the number of claimed tasks that may be running on machines whose first heartbeat is awaited. */
     public int unconfirmedTasks() {
         return numbers.unconfirmedCount();
@@ -268,8 +258,6 @@
         numbers.resolveUnconfirmed();
     }
 
-    // ---- zones -------------------------------------------------------------------------------------------------
-
     /**
      * Returns whether one more task may be placed in the given zone. An unconfirmed task counts as possibly running in
      * any zone.
@@ -283,8 +271,6 @@
         return tasksByZone.asMap();
     }
 
-    // ---- run times ---------------------------------------------------------------------------------------------
-
     /** Adds the run time of a completed task that was observed from its start in this term. */
     public void addRunTime(long runMicros) {
         totalRunMicros += runMicros;
@@ -301,8 +287,6 @@
         return runTimeCount;
     }
 
-    // ---- gangs -------------------------------------------------------------------------------------------------
-
     /** Returns the current attempt of this gang, or null if none is on machines or the job is not a gang. */
     public @Nullable GangAttempt gangAttempt() {
         return gangAttempt;
--- a/src/main/java/org/granitepath/coordination/model/Machine.java
+++ b/src/main/java/org/granitepath/coordination/model/Machine.java
@@ -68,8 +68,6 @@
         this.profile = new MachineProfile(typeName, zone, spot);
     }
 
-    // ---- properties --------------------------------------------------------------------------------------------
-
     /** Returns the name that the cloud gave the machine. */
     public String id() {
         return id;
@@ -115,8 +113,6 @@
         capacity.setType(known);
     }
 
-    // ---- life cycle --------------------------------------------------------------------------------------------
-
     /** Returns the phase of the machine's life cycle. */
     public Phase phase() {
         return phase;
@@ -186,8 +182,6 @@
         return phase == Phase.READY && inventory.isRecorded() && !inventory.needsNewToken() && capacity.type() != null;
     }
 
-    // ---- takeover and joining ----------------------------------------------------------------------------------
-
     /**
      * Takes over a machine that was in the inventory when the term began. Its tasks are unknown until its first
      * heartbeat.
@@ -219,8 +213,6 @@
         idleSinceMicros = nowMicros;
     }
 
-    // ---- inventory and fencing token ---------------------------------------------------------------------------
-
     /** Returns the machine's place in the stored inventory and its fencing token. */
     public InventoryEntry inventory() {
         return inventory;
@@ -236,8 +228,6 @@
         return new InventoryRecord.MachineRow(id, contact.address(), typeName(), zone(), isSpot(), withToken);
     }
 
-    // ---- messages of the worker --------------------------------------------------------------------------------
-
     /**
      * Records a heartbeat that the worker sent on its own.
      *
@@ -263,8 +253,6 @@
         findings.clearCleanupCommands();
     }
 
-    // ---- findings of the latest message ------------------------------------------------------------------------
-
     /** Returns the commands that the latest message calls for: stops of orphaned tasks, and clears of exited ones. */
     public List<WorkerCommand> cleanupCommands() {
         return findings.cleanupCommands();
@@ -285,8 +273,6 @@
         findings.addUnconfirmedTask();
     }
 
-    // ---- held capacity -----------------------------------------------------------------------------------------
-
     /** Returns whether the machine is idle and kept as headroom for live services. Other work may use it meanwhile. */
     public boolean isHeadroom() {
         return capacityHold.isHeadroom();
@@ -320,8 +306,6 @@
         capacityHold.endReservationFor(gang);
     }
 
-    // ---- idle time and charged time ----------------------------------------------------------------------------
-
     /**
      * Returns the time since which the machine has had no placement. It starts anew when the machine responds again,
      * because an unresponsive machine cannot receive work.
@@ -340,8 +324,6 @@
         launchedMicros = chargedSinceMicros;
     }
 
-    // ---- placements and capacity -------------------------------------------------------------------------------
-
     /** Returns the attempts placed on this machine, in the order in which they were placed. */
     public Collection<Placement> placements() {
         return placements.all();
--- a/src/main/java/org/granitepath/coordination/model/Placement.java
+++ b/src/main/java/org/granitepath/coordination/model/Placement.java
@@ -139,8 +139,6 @@
         phase = next;
     }
 
-    // ---- start -------------------------------------------------------------------------------------------------
-
     /** Notes that the start is sent in a heartbeat response. Only a later heartbeat shows whether it arrived. */
     public void markSentInResponse() {
         delivery.markSentInResponse();
@@ -171,8 +169,6 @@
         return delivery.hasUnacknowledgedStart(token);
     }
 
-    // ---- reports of the worker ---------------------------------------------------------------------------------
-
     /** Notes that a message of the worker lists the attempt. */
     public void markListed(boolean underCurrentToken) {
         delivery.markListed(underCurrentToken);
@@ -242,8 +238,6 @@
         return hasRun() ? nowMicros - runningSinceMicros : 0;
     }
 
-    // ---- stop --------------------------------------------------------------------------------------------------
-
     /** Marks the attempt as stopping. The task gets the given time to save its progress. */
     public void stop(long maxGraceMicros, String why) {
         graceMicros = maxGraceMicros;
--- a/src/main/java/org/granitepath/coordination/model/SchedulingState.java
+++ b/src/main/java/org/granitepath/coordination/model/SchedulingState.java
@@ -88,8 +88,6 @@
         lastRunningMicros = nowMicros;
     }
 
-    // ---- gang reservations -------------------------------------------------------------------------------------
-
     /** Returns the time since which machines are reserved for this gang, or a negative value if none is. */
     public long reservedSinceMicros() {
         return reservedSinceMicros;
--- a/src/main/java/org/granitepath/coordination/model/TaskNumbers.java
+++ b/src/main/java/org/granitepath/coordination/model/TaskNumbers.java
@@ -36,8 +36,6 @@
         }
     }
 
-    // ---- done --------------------------------------------------------------------------------------------------
-
     /** Returns the tasks that are done, as ranges. */
     RangeSet<Integer> doneTasks() {
         return doneTasks;
@@ -69,8 +67,6 @@
         unconfirmed.clear();
     }
 
-    // ---- claims ------------------------------------------------------------------------------------------------
-
     /** Returns how many tasks are claimed in the store. They are the ones with the lowest numbers. */
     int claimedTasks() {
         return claimedTasks;
@@ -91,8 +87,6 @@
         requestedClaim = tasks;
     }
 
-    // ---- starting ----------------------------------------------------------------------------------------------
-
     /** Returns the lowest number that was never handed out; all higher numbers were not handed out either. */
     int firstUnstartedTask() {
         return firstUnstartedTask;
@@ -145,8 +139,6 @@
         }
     }
 
-    // ---- unconfirmed -------------------------------------------------------------------------------------------
-
     /** Returns the number of tasks that may be running on machines whose first heartbeat is awaited. */
     int unconfirmedCount() {
         return unconfirmed.size();
--- a/src/main/java/org/granitepath/coordination/model/WorkerContact.java
+++ b/src/main/java/org/granitepath/coordination/model/WorkerContact.java
@@ -51,8 +51,6 @@
         leaseExpiryMicros = previousLeaseExpiryMicros;
     }
 
-    // ---- messages of the worker --------------------------------------------------------------------------------
-
     /** Returns the worker's latest agent epoch, or a negative value if it is unknown. */
     public long agentEpoch() {
         return agentEpoch;
@@ -95,8 +93,6 @@
         return nowMicros - lastHeartbeatMicros > MAX_MISSED_HEARTBEATS * heartbeatIntervalMicros + DELAY_MARGIN_MICROS;
     }
 
-    // ---- lease -------------------------------------------------------------------------------------------------
-
     /**
      * Returns the time at which the worker's lease expires at the latest, whichever controller has extended it, unless
      * this controller extends it again. Returns 0 if the lease has expired.
@@ -140,8 +136,6 @@
         fenced = false;
     }
 
-    // ---- direct calls ------------------------------------------------------------------------------------------
-
     /** Returns whether a direct call is in flight. */
     public boolean hasCallInFlight() {
         return callInFlight;
--- a/src/main/java/org/granitepath/coordination/term/LeaderTermFactory.java
+++ b/src/main/java/org/granitepath/coordination/term/LeaderTermFactory.java
@@ -142,8 +142,6 @@
         this.scheduler = createScheduler();
     }
 
-    // ---- storage -----------------------------------------------------------------------------------------------
-
     private WriteQueue createWriteQueue() {
         return new WriteQueue(
                 ports.store(),
@@ -156,8 +154,6 @@
                 () -> !termEnd.isEnded());
     }
 
-    // ---- jobs --------------------------------------------------------------------------------------------------
-
     private SchedulingLoop createSchedulingLoop() {
         return new SchedulingLoop(
                 timers, termEnd::isEnded, leadership::canStartTasks, this::runCycle, this::sendCommands);
@@ -180,8 +176,6 @@
         return new JobLifecycle(jobIndex, recorder, recovery, activeJobs, tasks, arrivalRate, timers, loop);
     }
 
-    // ---- fleet -------------------------------------------------------------------------------------------------
-
     private MachineInventory createInventory() {
         MachineInventory.Listener listener = new MachineInventory.Listener() {
             @Override
@@ -206,16 +200,12 @@
         return new HeartbeatReconciler(config, fleet, inventory, machines, taskReconciler, recovery, timers, loop);
     }
 
-    // ---- scheduling --------------------------------------------------------------------------------------------
-
     private Scheduler createScheduler() {
         Preemptor preemptor = new Preemptor(fleet, rules, tasks);
         Scheduler.Policies policies = new Scheduler.Policies(rules, batchPlanner, preemptor, gangHeadroom);
         return new Scheduler(config, fleet, activeJobs, recovery, tasks, jobs, policies, timers);
     }
 
-    // ---- autoscaling -------------------------------------------------------------------------------------------
-
     private Autoscaler createAutoscaler() {
         return new Autoscaler(
                 new ScaleOutPlan.Inputs(config, fleet, activeJobs, batchPlanner, runtimeEstimator, arrivalRate),
@@ -228,8 +218,6 @@
                 timers);
     }
 
-    // ---- term --------------------------------------------------------------------------------------------------
-
     /** Creates the term. Call this method once only. */
     public LeaderTerm create() {
         return new LeaderTerm(
--- a/src/test/java/org/granitepath/coordination/fleet/FleetFixture.java
+++ b/src/test/java/org/granitepath/coordination/fleet/FleetFixture.java
@@ -230,8 +230,6 @@
         return storeReads;
     }
 
-    // ---- machines ----------------------------------------------------------------------------------------------
-
     /** Takes over machines that a previous leader has stored and that have sent no message in this term. */
     List<Machine> takeOver(String... ids) {
         List<InventoryRecord.MachineRow> rows = Arrays.stream(ids)
@@ -289,8 +287,6 @@
                 List.of(tasks));
     }
 
-    // ---- jobs and tasks ----------------------------------------------------------------------------------------
-
     /** Opens a job of {@link Fixtures#TASKS} tasks, the first {@code claimed} of which are claimed under this token. */
     ActiveJob job(JobSpec.Shape shape, int claimed, long claimedByToken) {
         JobSpec spec = Fixtures.spec(shape, false, false);
--- a/src/test/java/org/granitepath/coordination/fleet/TaskReconcilerTest.java
+++ b/src/test/java/org/granitepath/coordination/fleet/TaskReconcilerTest.java
@@ -47,8 +47,6 @@
         return fixture.activeJobs.get(task.job());
     }
 
-    // ---- listed ------------------------------------------------------------------------------------------------
-
     @Test
     void listedPlacementIsConfirmedOnce() {
         Machine machine = fixture.readyMachine("m");
@@ -113,8 +111,6 @@
         assertEquals(List.of(WorkerCommand.clear(task, PREVIOUS_ATTEMPT)), machine.cleanupCommands());
     }
 
-    // ---- not listed --------------------------------------------------------------------------------------------
-
     @Test
     void placementThatIsNoLongerListedIsFreed() {
         Machine machine = fixture.readyMachine("m");
--- a/src/test/java/org/granitepath/coordination/fleet/TaskStatusUpdaterTest.java
+++ b/src/test/java/org/granitepath/coordination/fleet/TaskStatusUpdaterTest.java
@@ -46,8 +46,6 @@
         return placements;
     }
 
-    // ---- exits -------------------------------------------------------------------------------------------------
-
     @Test
     void completedTaskIsDone() {
         ActiveJob job = fixture.job(JobSpec.Shape.BATCH);
@@ -97,8 +95,6 @@
         assertEquals(ActiveJob.Phase.COMPLETING, job.phase());
     }
 
-    // ---- running -----------------------------------------------------------------------------------------------
-
     @Test
     void longRunningTaskProvesThatJobIsNotFaulty() {
         Placement placement = fixture.startDirectly(fixture.job(JobSpec.Shape.BATCH), machine);
@@ -133,8 +129,6 @@
         assertEquals(0, job.runTimeCount());
     }
 
-    // ---- gangs -------------------------------------------------------------------------------------------------
-
     @Test
     void completedTaskOfGangCompletesAllTasks() {
         ActiveJob gang = fixture.job(JobSpec.Shape.GANG);
@@ -181,8 +175,6 @@
         assertEquals(gang.spec().saveDurationMicros(), placements.get(1).graceMicros());
     }
 
-    // ---- completed by an attempt that is not placed --------------------------------------------------------------
-
     @Test
     void otherAttemptOfCompletedTaskIsStopped() {
         ActiveJob job = fixture.job(JobSpec.Shape.BATCH);
--- a/src/test/java/org/granitepath/coordination/jobs/TaskLifecycleTest.java
+++ b/src/test/java/org/granitepath/coordination/jobs/TaskLifecycleTest.java
@@ -118,8 +118,6 @@
         assertEquals(expected, placement.phase());
     }
 
-    // ---- gangs -------------------------------------------------------------------------------------------------
-
     private List<Placement> startGang() {
         ActiveJob job = fixture.openJob(GANG);
         List<Machine> machines = IntStream.range(0, GANG.tasks())
--- a/src/test/java/org/granitepath/coordination/term/HeartbeatHandlerTest.java
+++ b/src/test/java/org/granitepath/coordination/term/HeartbeatHandlerTest.java
@@ -48,8 +48,6 @@
         return new TaskStatus(ORPHAN, 5, TaskState.RUNNING, ExitCause.NONE, false);
     }
 
-    // ---- machines that are not in the fleet ----------------------------------------------------------------------
-
     @ParameterizedTest(name = "machine that knows fencing token {0}")
     @ValueSource(longs = {0, TERM_TOKEN})
     void anUnknownMachineJoinsUnderTheTokenOfTheTerm(long knownToken) {
@@ -74,8 +72,6 @@
         assertNull(fixture.fleet.machine("m"));
     }
 
-    // ---- machines of the fleet -----------------------------------------------------------------------------------
-
     @Test
     void aHeartbeatIsAnsweredWithCleanupCommands() {
         Machine machine = fixture.readyMachine("m");
