Micros: one place for the microseconds in a millisecond and in a second

They are in the lowest layer now, where all can use them. `Micros` is a class now, so DocumentedClassesTest no longer needs it on its list of other words.

--- a/src/main/java/org/granitepath/cli/ConfigReader.java
+++ b/src/main/java/org/granitepath/cli/ConfigReader.java
@@ -12,6 +12,7 @@
 import org.granitepath.coordination.config.Topology;
 import org.granitepath.coordination.config.Tuning;
 import org.granitepath.coordination.config.WorkerTiming;
+import org.granitepath.storage.Micros;
 
 /** Creates the configuration of the decision code from the platform settings. Reports the first invalid field. */
 final class ConfigReader {
@@ -42,7 +43,6 @@
     private static final double MIN_VALUE_KB = 0.5;
     private static final double MIN_TRANSACTION_CHANGES = 4;
     private static final int BYTES_PER_KB = 1024;
-    private static final int MICROS_PER_MILLI = 1000;
 
     private final TomlFields fields;
 
@@ -67,7 +67,7 @@
                 objectives(),
                 workerTiming(),
                 platformLimits(),
-                Math.round(fields.number("facts.skew_ms", 0) * MICROS_PER_MILLI),
+                Math.round(fields.number("facts.skew_ms", 0) * Micros.PER_MILLI),
                 tuning);
     }
 
--- a/src/main/java/org/granitepath/coordination/Controller.java
+++ b/src/main/java/org/granitepath/coordination/Controller.java
@@ -26,6 +26,7 @@
 import org.granitepath.storage.Keys;
 import org.granitepath.storage.MachineType;
 import org.granitepath.storage.MachineTypesRecord;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.RecordReplica;
 import org.granitepath.storage.StoredRecord;
 import org.granitepath.storage.Timers;
@@ -135,7 +136,7 @@
     private static long minReadIntervalMicros(Config config) {
         int controllers = config.topology().peers().size() + 1;
         double readsPerSecond = config.limits().storeRequestsPerSecond() * READ_SHARE / controllers;
-        return (long) (1e6 / readsPerSecond);
+        return (long) (Micros.PER_SECOND / readsPerSecond);
     }
 
     /** Starts following the records in the store, campaigning for leadership and exchanging status with the peers. */
--- a/src/main/java/org/granitepath/coordination/autoscaling/CloudRequestBudget.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/CloudRequestBudget.java
@@ -1,12 +1,12 @@
 package org.granitepath.coordination.autoscaling;
 
+import org.granitepath.storage.Micros;
+
 /** Token bucket for requests to the cloud, which refuses callers that exceed its request rate. */
 final class CloudRequestBudget {
     /** The remaining share is for the other controllers and for requests for machine types. */
     private static final double SHARE_OF_ALLOWED_RATE = 0.8;
 
-    private static final double MICROS_PER_SECOND = 1e6;
-
     private final double requestsPerSecond;
     private double tokens = 1;
     private long refilledMicros;
@@ -23,7 +23,7 @@
 
     /** Takes one request from the budget, and returns whether one was left. */
     boolean tryAcquire(long nowMicros) {
-        double refill = (nowMicros - refilledMicros) * requestsPerSecond / MICROS_PER_SECOND;
+        double refill = (nowMicros - refilledMicros) * requestsPerSecond / Micros.PER_SECOND;
         tokens = Math.min(Math.max(1, requestsPerSecond), tokens + refill);
         refilledMicros = nowMicros;
         if (tokens < 1) {
--- a/src/main/java/org/granitepath/coordination/autoscaling/OfferCost.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/OfferCost.java
@@ -4,6 +4,7 @@
 import org.granitepath.coordination.placement.ImageFetchTime;
 import org.granitepath.storage.JobSpec;
 import org.granitepath.storage.MachineType;
+import org.granitepath.storage.Micros;
 
 /**
  * Cost model of a machine: the cost for each task of one job, from the launch of the machine to the end of the task,
@@ -24,7 +25,6 @@
     private static final double PENALTY_PER_LAUNCH = 0.001;
 
     private static final double PENALTY_PER_TASK_IN_ZONE = 0.0005;
-    private static final double MICROS_PER_SECOND = 1e6;
 
     private final JobSpec spec;
     private final long runMicros;
@@ -57,7 +57,7 @@
 
     /** Returns the time from the launch of a machine of this type to the start of a task: boot plus image fetch. */
     long startupMicros(MachineType type) {
-        return type.bootMicros() + (long) (ImageFetchTime.seconds(spec, type) * MICROS_PER_SECOND);
+        return type.bootMicros() + (long) (ImageFetchTime.seconds(spec, type) * Micros.PER_SECOND);
     }
 
     /**
--- a/src/main/java/org/granitepath/coordination/autoscaling/ScaleIn.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/ScaleIn.java
@@ -8,6 +8,7 @@
 import org.granitepath.coordination.jobs.TermRecovery;
 import org.granitepath.coordination.model.Fleet;
 import org.granitepath.coordination.model.Machine;
+import org.granitepath.storage.Micros;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,7 +16,6 @@
 /** Chooses the machines to terminate: those that failed, that no work needs, or that were drained. */
 final class ScaleIn {
     private static final Logger LOG = LoggerFactory.getLogger(ScaleIn.class);
-    private static final long MICROS_PER_SECOND = 1_000_000;
 
     private final Fleet fleet;
     private final BootingMachines booting;
@@ -62,7 +62,7 @@
     private void addMachinesThatFailedToBoot(List<String> ids, long nowMicros) {
         for (BootingMachine machine : booting.all()) {
             if (machine.hasFailedToBoot(nowMicros) && ids.size() < Terminator.MAX_MACHINES_PER_REQUEST) {
-                long ageSeconds = (nowMicros - machine.launchedMicros()) / MICROS_PER_SECOND;
+                long ageSeconds = (nowMicros - machine.launchedMicros()) / Micros.PER_SECOND;
                 LOG.info(
                         "machine {} sent no heartbeat within {} s of its launch; terminating it",
                         machine.id(),
--- a/src/main/java/org/granitepath/coordination/autoscaling/ScaleOut.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/ScaleOut.java
@@ -8,10 +8,10 @@
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.placement.PlacementRules;
 import org.granitepath.storage.MachineType;
+import org.granitepath.storage.Micros;
 
 /** Makes a new plan whenever the previous launch is over, and carries out the first launch of the plan. */
 final class ScaleOut {
-    private static final double MICROS_PER_SECOND = 1e6;
 
     private final ScaleOutPlan.Inputs inputs;
     private final PlacementRules rules;
@@ -65,7 +65,7 @@
         spareHeadroom.update(plan.spareHeadroomCpuMillis());
         PlannedLaunch first = plan.firstLaunch();
         if (first != null && requestBudget.tryAcquire(nowMicros)) {
-            launcher.launch(first, Math.round(plan.batchCompletionMicros() / MICROS_PER_SECOND), this::launch);
+            launcher.launch(first, Math.round(plan.batchCompletionMicros() / (double) Micros.PER_SECOND), this::launch);
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/fleet/InventoryWriter.java
+++ b/src/main/java/org/granitepath/coordination/fleet/InventoryWriter.java
@@ -10,6 +10,7 @@
 import org.granitepath.storage.FencingTokenRecord;
 import org.granitepath.storage.KeyValueStore.Change;
 import org.granitepath.storage.Keys;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.RecordReplica;
 import org.granitepath.storage.Timers;
 import org.granitepath.storage.WriteQueue;
@@ -95,8 +96,6 @@
         cleanupTokensDue = true;
     }
 
-    // ---- building a transaction --------------------------------------------------------------------------------
-
     private List<Change> buildTransaction() {
         if (inFlight != null) {
             dirtyParts.addAll(inFlight.parts()); // the previous transaction has failed
@@ -109,8 +108,8 @@
                     Keys.FENCING_TOKEN,
                     new FencingTokenRecord(config.node(), term.fencingToken(), transaction.newToken())));
         }
-        nextWriteMicros =
-                timers.nowMicros() + (long) (changes.size() * 1e6 / (writeQueue.writesPerSecond() * WRITE_SHARE));
+        nextWriteMicros = timers.nowMicros()
+                + (long) (changes.size() * Micros.PER_SECOND / (writeQueue.writesPerSecond() * WRITE_SHARE));
         return changes;
     }
 
@@ -161,8 +160,6 @@
         return (counter == null ? term.fencingToken() : counter.lastIssuedToken()) + 1;
     }
 
-    // ---- after a commit ----------------------------------------------------------------------------------------
-
     private void onCommitted() {
         InventoryTransaction committed =
                 Objects.requireNonNull(inFlight, "a committed transaction must have been in flight");
--- a/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
@@ -8,6 +8,7 @@
 import org.granitepath.coordination.jobs.TermRecovery;
 import org.granitepath.coordination.model.Fleet;
 import org.granitepath.coordination.model.Machine;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -73,7 +74,7 @@
      * @param noticeMicros the time until the cloud reclaims the machine
      */
     void drainOnTerminationNotice(Machine machine, long noticeMicros) {
-        drain(machine, "the cloud reclaims it in " + noticeMicros / 1_000_000 + " s");
+        drain(machine, "the cloud reclaims it in " + noticeMicros / Micros.PER_SECOND + " s");
         tasks.evacuate(machine, noticeMicros);
     }
 
--- a/src/main/java/org/granitepath/coordination/gang/GangScheduler.java
+++ b/src/main/java/org/granitepath/coordination/gang/GangScheduler.java
@@ -9,6 +9,7 @@
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.placement.MachineScorer;
 import org.granitepath.coordination.placement.PlacementRules;
+import org.granitepath.storage.Micros;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,7 +21,6 @@
  */
 public final class GangScheduler {
     private static final Logger LOG = LoggerFactory.getLogger(GangScheduler.class);
-    private static final long MICROS_PER_MILLISECOND = 1_000;
 
     private final PlacementRules rules;
     private final TaskLifecycle tasks;
@@ -79,7 +79,7 @@
                 job.spec().id(),
                 job.spec().jobClass(),
                 job.spec().tasks(),
-                (nowMicros - job.scheduling().waitingSinceMicros()) / MICROS_PER_MILLISECOND,
+                (nowMicros - job.scheduling().waitingSinceMicros()) / Micros.PER_MILLI,
                 placement.imageFetches());
         job.scheduling().endReservation();
         tasks.startGang(job, placement.machines(), nowMicros);
--- a/src/main/java/org/granitepath/coordination/jobs/JobLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/jobs/JobLifecycle.java
@@ -7,6 +7,7 @@
 import org.granitepath.coordination.model.Placement;
 import org.granitepath.storage.FinalRecord;
 import org.granitepath.storage.JobRecord;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.ProgressRecord;
 import org.granitepath.storage.Timers;
 import org.slf4j.Logger;
@@ -18,7 +19,6 @@
  */
 public final class JobLifecycle implements JobIndex.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(JobLifecycle.class);
-    private static final long MICROS_PER_SECOND = 1_000_000;
 
     private final JobIndex jobIndex;
     private final JobRecorder recorder;
@@ -137,14 +137,14 @@
         String due = "";
         if (job.spec().hasDeadline()) {
             due = (ageMicros > job.spec().deadlineMicros() ? ", LATE, due after " : ", due after ")
-                    + job.spec().deadlineMicros() / MICROS_PER_SECOND + " s";
+                    + job.spec().deadlineMicros() / Micros.PER_SECOND + " s";
         }
         LOG.info(
                 "job {} of {} ({} tasks) done after {} s{}",
                 job.spec().id(),
                 job.spec().jobClass(),
                 job.spec().tasks(),
-                ageMicros / MICROS_PER_SECOND,
+                ageMicros / Micros.PER_SECOND,
                 due);
     }
 
--- a/src/main/java/org/granitepath/coordination/term/PeriodicChecks.java
+++ b/src/main/java/org/granitepath/coordination/term/PeriodicChecks.java
@@ -7,6 +7,7 @@
 import org.granitepath.coordination.model.Fleet;
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.scheduling.Consolidator;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -84,7 +85,7 @@
         if (pauseMicros > PAUSE_THRESHOLD_MICROS) {
             LOG.info(
                     "this process was paused for {} s: the pause does not count towards machine timeouts",
-                    pauseMicros / 1_000_000);
+                    pauseMicros / Micros.PER_SECOND);
             fleet.compensateForPause(pauseMicros, nowMicros);
         }
     }
--- a/src/main/java/org/granitepath/protocol/KeyValueStoreCodec.java
+++ b/src/main/java/org/granitepath/protocol/KeyValueStoreCodec.java
@@ -12,6 +12,7 @@
 import org.granitepath.storage.KeyValueStore.Page;
 import org.granitepath.storage.KeyValueStore.Precondition;
 import org.granitepath.storage.KeyValueStore.Transaction;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.StoredRecordCodec;
 
 /**
@@ -28,7 +29,6 @@
     private static final String REMOVE = "remove";
     private static final String VALUE = "v";
     private static final String PERMIT = "permit";
-    private static final long MICROS_PER_MILLI = 1000;
 
     private KeyValueStoreCodec() {}
 
@@ -94,7 +94,7 @@
 
     /** Returns the body of a request for a lease of {@code ttlMicros} microseconds. */
     public static String encodeLeaseRequest(long ttlMicros) {
-        return Json.encode(Map.of("life_ms", ttlMicros / MICROS_PER_MILLI));
+        return Json.encode(Map.of("life_ms", ttlMicros / Micros.PER_MILLI));
     }
 
     /** Decodes the id of a new lease. */
--- a/src/main/java/org/granitepath/storage/TokenBucket.java
+++ b/src/main/java/org/granitepath/storage/TokenBucket.java
@@ -7,7 +7,6 @@
  * most the tokens of one second, or one token if that is more.
  */
 final class TokenBucket {
-    private static final double MICROS_PER_SECOND = 1e6;
     /** The lowest rate of an adaptive bucket, as a part of its share. */
     private static final double MIN_RATE_FRACTION = 0.03;
     /** The part of its share by which an adaptive bucket raises its rate after each answer other than a refusal. */
@@ -41,7 +40,7 @@
 
     /** Adds the tokens that have arrived since the last refill. */
     void refill(long nowMicros) {
-        tokens = Math.min(Math.max(1, rate), tokens + (nowMicros - refilledMicros) * rate / MICROS_PER_SECOND);
+        tokens = Math.min(Math.max(1, rate), tokens + (nowMicros - refilledMicros) * rate / Micros.PER_SECOND);
         refilledMicros = nowMicros;
     }
 
@@ -52,7 +51,7 @@
 
     /** Returns the time from the last refill until there is a token; to be called only when there is none. */
     long microsUntilToken() {
-        return (long) ((1 - tokens) * MICROS_PER_SECOND / rate) + 1;
+        return (long) ((1 - tokens) * Micros.PER_SECOND / rate) + 1;
     }
 
     /** Takes one token for each change. The number of tokens may become negative. */
--- a/src/main/java/org/granitepath/transport/EventLoop.java
+++ b/src/main/java/org/granitepath/transport/EventLoop.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.granitepath.storage.Micros;
 import org.granitepath.storage.Timers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +26,6 @@
     private static final int MAX_POOLED_BUFFERS = 256;
     private static final int BUFFERS_CACHED_BY_THREAD = 4;
     private static final long NANOS_PER_MICRO = 1000;
-    private static final long MICROS_PER_MILLI = 1000;
 
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -71,7 +71,7 @@
 
     @Override
     public long timeOfDayMicros() {
-        return System.currentTimeMillis() * MICROS_PER_MILLI;
+        return System.currentTimeMillis() * Micros.PER_MILLI;
     }
 
     @Override
@@ -80,7 +80,7 @@
             execute(action);
         } else {
             thread.executeAfter(
-                    withErrorLogging(action), Math.max(1, delayMicros / MICROS_PER_MILLI), TimeUnit.MILLISECONDS);
+                    withErrorLogging(action), Math.max(1, delayMicros / Micros.PER_MILLI), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/granitepath/transport/HttpCall.java
+++ b/src/main/java/org/granitepath/transport/HttpCall.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.granitepath.storage.Micros;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,8 +20,6 @@
     /** Logs under the name of {@link HttpCalls}, by which operators identify these log lines. */
     private static final Logger LOG = LoggerFactory.getLogger(HttpCalls.class);
 
-    private static final long MICROS_PER_MILLI = 1000;
-
     private final EventLoop loop;
     private final ConnectionPool connections;
     private final OutgoingRequest request;
@@ -47,7 +46,7 @@
         timeout = loop.thread()
                 .executeAfter(
                         EventLoop.withErrorLogging(() -> fail("timed out")),
-                        timeoutMicros / MICROS_PER_MILLI,
+                        timeoutMicros / Micros.PER_MILLI,
                         TimeUnit.MILLISECONDS);
         ClientConnection idle = request.usesPooledConnection() ? connections.takeIdle(request.address()) : null;
         if (idle != null) {
--- a/src/main/java/org/granitepath/transport/KeyValueStoreClient.java
+++ b/src/main/java/org/granitepath/transport/KeyValueStoreClient.java
@@ -7,6 +7,7 @@
 import org.granitepath.protocol.HttpStatus;
 import org.granitepath.protocol.KeyValueStoreCodec;
 import org.granitepath.storage.KeyValueStore;
+import org.granitepath.storage.Micros;
 import org.jspecify.annotations.Nullable;
 
 /** Client of the key-value store's HTTP API. */
@@ -15,7 +16,6 @@
     /** A renewal must end early enough for another attempt before the lease expires. */
     private static final long RENEWAL_TIMEOUT_MICROS = TIMEOUT_MICROS / 2;
 
-    private static final long MICROS_PER_MILLI = 1000;
     private static final String EMPTY_OBJECT = "{}";
 
     private final JsonClient store;
@@ -46,7 +46,7 @@
     @Override
     public void follow(String prefix, long afterRevision, long waitMicros, Consumer<Page> callback) {
         String path =
-                "/follow?prefix=" + prefix + "&from=" + afterRevision + "&wait_ms=" + waitMicros / MICROS_PER_MILLI;
+                "/follow?prefix=" + prefix + "&from=" + afterRevision + "&wait_ms=" + waitMicros / Micros.PER_MILLI;
         store.get(
                 path,
                 waitMicros + TIMEOUT_MICROS,
--- a/src/test/java/org/granitepath/DocumentedClassesTest.java
+++ b/src/test/java/org/granitepath/DocumentedClassesTest.java
@@ -39,8 +39,6 @@
             // names of JSpecify and of the JDK
             "Nullable",
             "Objects.requireNonNull",
-            // a suffix of names
-            "Micros",
             // a word of a log line, an environment variable, a directory in an example
             "LATE",
             "LOG_LEVEL",
