Tests: one fixture for a listener on loopback; final states in the soak

RequestDispatcherTest and HttpCallsToAListenerTest set up the same listener, event loop and address; ListenerFixture does it for both. The soak of FragmentedRequestsIT also checks that a job reported as done stays done, as it did for cancelled ones.

--- a/src/test/java/org/granitepath/loopback/FragmentedRequestsIT.java
+++ b/src/test/java/org/granitepath/loopback/FragmentedRequestsIT.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -36,6 +37,8 @@
     /** A job about which no question is answered for this long counts as forgotten. */
     private static final long FORGOTTEN_MILLIS = 75_000;
 
+    private static final Set<String> FINAL_STATES = Set.of("done", "aborted");
+
     private static Cluster.Job job(int number) {
         return new Cluster.Job(String.format("run-%06d", number), false, 2, 1, 500);
     }
@@ -144,7 +147,8 @@
                 for (ControllerProcess controller : cluster.controllers) {
                     Reply reply = awaitAnswer(controller, "/submissions/" + told.getKey());
                     Object state = reply.body().get("status");
-                    boolean contradicted = told.getValue().equals("aborted") && !"aborted".equals(state);
+                    boolean contradicted = FINAL_STATES.contains(told.getValue())
+                            && !told.getValue().equals(state);
                     if (reply.status() != 200 || contradicted) {
                         violations.add(told + " was told, then " + reply + " by " + controller.address());
                     }
--- a/src/test/java/org/granitepath/transport/HttpCallsToAListenerTest.java
+++ b/src/test/java/org/granitepath/transport/HttpCallsToAListenerTest.java
@@ -5,11 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import java.net.InetSocketAddress;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -25,27 +24,22 @@
     /** Bounds the wait for a call that never ends. */
     private static final int TIMEOUT_SECONDS = 60;
 
-    private static final int BACKLOG = 16;
-
+    private ListenerFixture listener;
     private EventLoop loop;
     private HttpCalls http;
-    private Undertow listener;
     private String address;
 
     @BeforeEach
-    void listen() throws Exception {
-        loop = new EventLoop();
+    void listen() throws IOException {
+        listener = new ListenerFixture(this::route);
+        loop = listener.loop;
         http = new HttpCalls(loop);
-        listener = HttpListener.listen(loop, new Address("127.0.0.1", 0), BACKLOG, this::route);
-        InetSocketAddress bound =
-                (InetSocketAddress) listener.getListenerInfo().get(0).getAddress();
-        address = "127.0.0.1:" + bound.getPort();
+        address = "127.0.0.1:" + listener.address().getPort();
     }
 
     @AfterEach
     void stop() {
-        listener.stop();
-        loop.worker().shutdown();
+        listener.close();
     }
 
     private void route(HttpServerExchange exchange) {
@@ -146,7 +140,7 @@
 
     @Test
     void callToAClosedPortEndsWithoutResponse() throws Exception {
-        listener.stop();
+        listener.stopListening();
         assertTrue(get("/echo", ConnectionPolicy.KEEP_ALIVE).isMissing());
     }
 
--- a/src/test/java/org/granitepath/transport/RequestDispatcherTest.java
+++ b/src/test/java/org/granitepath/transport/RequestDispatcherTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -22,27 +22,21 @@
  * 200 for a request that nobody has answered.
  */
 class RequestDispatcherTest {
-    private static final int BACKLOG = 16;
     /** The time between two packets of a request, and between a request and its answer. */
     private static final long GAP_MILLIS = 30;
     /** Bounds the wait for an answer that never comes. */
     private static final int TIMEOUT_MILLIS = 30_000;
 
-    private EventLoop loop;
-    private Undertow listener;
-    private InetSocketAddress address;
+    private ListenerFixture listener;
 
     @BeforeEach
-    void listen() throws Exception {
-        loop = new EventLoop();
-        listener = HttpListener.listen(loop, new Address("127.0.0.1", 0), BACKLOG, this::route);
-        address = (InetSocketAddress) listener.getListenerInfo().get(0).getAddress();
+    void listen() throws IOException {
+        listener = new ListenerFixture(this::route);
     }
 
     @AfterEach
     void stop() {
-        listener.stop();
-        loop.worker().shutdown();
+        listener.close();
     }
 
     private void route(HttpServerExchange exchange) {
@@ -66,12 +60,13 @@
     }
 
     private void answerLater(HttpServerExchange exchange, int status, String text) {
-        loop.after(
+        listener.loop.after(
                 GAP_MILLIS * 1000,
                 () -> exchange.setStatusCode(status).getResponseSender().send(text));
     }
 
     private String exchange(List<String> packets) throws Exception {
+        InetSocketAddress address = listener.address();
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(TIMEOUT_MILLIS);
