TaskNumbers: keep claimed tasks as ranges, so a takeover needs no memory per task

All three controllers run out of heap; there is no leader, and no task starts in 91 s beside an empty machine (exit 1 on arm64 before this change).

Cause: a new leader kept each task that its predecessor had claimed as an entry of its own, first as unconfirmed, then as free. It also claimed another sixth of every job, since a claim counted from the first task that was never started although all claimed tasks were free.

Change: TaskNumberSet keeps numbers as ranges. No further block is claimed while one that former leaders claimed is free. Claims of a job that this term accepted are made as before, so runs without a change of leader are unchanged.

Tried and not taken: counting all freed tasks as claimed ahead.

--- a/src/main/java/org/granitepath/coordination/jobs/JobLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/jobs/JobLifecycle.java
@@ -77,8 +77,7 @@
         ActiveJob job = new ActiveJob(record, jobIndex.progressOf(record.spec().id()), timers.nowMicros());
         jobs.add(job);
         if (recorder.isClaimedByThisTerm(record)) {
-            // The tasks were claimed for this term when the job was accepted: no previous leader can have started them.
-            job.resolveUnconfirmed();
+            job.confirmOwnClaim();
         } else {
             recovery.resolveTasks(job);
         }
--- a/src/main/java/org/granitepath/coordination/jobs/JobRecorder.java
+++ b/src/main/java/org/granitepath/coordination/jobs/JobRecorder.java
@@ -52,6 +52,9 @@
 
     /** Claims the next block of tasks if not enough of the current block is left. */
     void claimNextBlock(ActiveJob job) {
+        if (hasInheritedBlock(job)) {
+            return;
+        }
         int tasks = job.spec().tasks();
         // If writes queue up, a job claims all its tasks at once; otherwise machines would be idle in the meantime.
         int block = writeQueue.isBehind() ? tasks : config.tuning().nextClaimBlockSize(job.spec());
@@ -63,6 +66,14 @@
         }
     }
 
+    /**
+     * Returns whether a whole block that former leaders claimed is free. Without this condition each leader would claim
+     * another block of every open job.
+     */
+    private boolean hasInheritedBlock(ActiveJob job) {
+        return job.inheritsClaim() && job.freedTasks() >= config.tuning().nextClaimBlockSize(job.spec());
+    }
+
     /** Records, after a short delay, that a task of the job is done. */
     void recordTaskDone(ActiveJob job) {
         recordProgress(job, WriteQueue.Urgency.PROGRESS_ONLY, PROGRESS_DELAY_MICROS);
--- a/src/main/java/org/granitepath/coordination/model/ActiveJob.java
+++ b/src/main/java/org/granitepath/coordination/model/ActiveJob.java
@@ -46,6 +46,7 @@
     private final SchedulingState scheduling = new SchedulingState();
 
     private Phase phase = Phase.OPEN;
+    private boolean inheritsClaim = true;
     private double totalRunMicros;
     private int runTimeCount;
     private @Nullable GangAttempt gangAttempt;
@@ -176,6 +177,11 @@
         return numbers.firstUnstartedTask();
     }
 
+    /** Returns how many tasks were started before and are free again. */
+    public int freedTasks() {
+        return numbers.freedCount();
+    }
+
     /** Returns whether a task can be started without storing a further claim. */
     public boolean hasStartableTask() {
         return numbers.hasStartableTask();
@@ -250,6 +256,17 @@
         return numbers.unconfirmedCount();
     }
 
+    /** Frees all claimed tasks: they were claimed for this leader's term, so no former leader can have started them. */
+    public void confirmOwnClaim() {
+        inheritsClaim = false;
+        numbers.resolveUnconfirmed();
+    }
+
+    /** Returns whether tasks of the job may have been claimed by former leaders. */
+    public boolean inheritsClaim() {
+        return inheritsClaim;
+    }
+
     /**
      * Frees all unconfirmed tasks. Every machine that could have held a task of this job has sent a heartbeat or is
      * proven to be gone.
--- a/src/main/java/org/granitepath/coordination/model/TaskNumbers.java
+++ b/src/main/java/org/granitepath/coordination/model/TaskNumbers.java
@@ -2,8 +2,6 @@
 
 import com.google.common.collect.RangeSet;
 import com.google.common.collect.TreeRangeSet;
-import it.unimi.dsi.fastutil.ints.IntAVLTreeSet;
-import it.unimi.dsi.fastutil.ints.IntOpenHashSet;
 import org.granitepath.storage.ProgressRecord;
 
 /**
@@ -13,9 +11,9 @@
 final class TaskNumbers {
     private final RangeSet<Integer> doneTasks;
     /** Tasks that were started before and are free again. */
-    private final IntAVLTreeSet freed = new IntAVLTreeSet();
+    private final TaskNumberSet freed = new TaskNumberSet();
     /** Tasks claimed by a previous leader that may be running on a machine whose first heartbeat is awaited. */
-    private final IntOpenHashSet unconfirmed = new IntOpenHashSet();
+    private final TaskNumberSet unconfirmed = new TaskNumberSet();
 
     private int doneCount;
     private int claimedTasks;
@@ -29,11 +27,7 @@
         this.claimedTasks = claimedTasks;
         this.requestedClaim = claimedTasks;
         this.firstUnstartedTask = claimedTasks;
-        for (int task = 0; task < claimedTasks; task++) {
-            if (!doneTasks.contains(task)) {
-                unconfirmed.add(task);
-            }
-        }
+        unconfirmed.addTasksBelow(claimedTasks, doneTasks);
     }
 
     /** Returns the tasks that are done, as ranges. */
@@ -92,6 +86,11 @@
         return firstUnstartedTask;
     }
 
+    /** Returns how many tasks were started before and are free again. */
+    int freedCount() {
+        return freed.size();
+    }
+
     /** Returns whether a task can be started without a further claim. */
     boolean hasStartableTask() {
         return !freed.isEmpty() || firstUnstartedTask < claimedTasks;
@@ -100,7 +99,7 @@
     /** Takes the next task to start: the lowest that is free again, or else the first that was never started. */
     int take() {
         if (!freed.isEmpty()) {
-            int task = freed.firstInt();
+            int task = freed.first();
             freed.remove(task);
             return task;
         }
@@ -114,7 +113,7 @@
 
     /** Returns the lowest number that is free again; there must be one. */
     int firstFreedTask() {
-        return freed.firstInt();
+        return freed.first();
     }
 
     /** Notes that a task is placed, so its machine is known. */
--- a/src/test/java/org/granitepath/coordination/jobs/JobLifecycleTest.java
+++ b/src/test/java/org/granitepath/coordination/jobs/JobLifecycleTest.java
@@ -129,6 +129,18 @@
         assertEquals(expected, job().claimedTasks());
     }
 
+    /** Each change of leader claimed another block of every open job, though all tasks of the last one were free. */
+    @Test
+    void inheritedBlockIsStartedBeforeAnotherIsClaimed() {
+        recordAccepted(BATCH, 6, TOKEN - 1);
+        lifecycle.start();
+        lifecycle.claimNextBlock(job());
+        assertEquals(6, job().requestedClaim(), "a block of six tasks is free");
+        job().takeTask();
+        lifecycle.claimNextBlock(job());
+        assertEquals(10, job().requestedClaim());
+    }
+
     @Test
     void recordsAreNotFollowedAfterEndOfTerm() {
         lifecycle.start();
--- a/src/test/java/org/granitepath/coordination/model/TaskNumbersTest.java
+++ b/src/test/java/org/granitepath/coordination/model/TaskNumbersTest.java
@@ -7,12 +7,18 @@
 
 import com.google.common.collect.RangeSet;
 import com.google.common.collect.TreeRangeSet;
+import java.lang.management.ManagementFactory;
 import java.util.NoSuchElementException;
 import org.granitepath.storage.ProgressRecord;
 import org.junit.jupiter.api.Test;
 
 /** Tests a job of which a previous leader claimed tasks 0 to 4 and task 1 is done. */
 class TaskNumbersTest {
+    /** The largest number of tasks that a user may submit. */
+    private static final int MAX_TASKS = 100_000;
+    /** A thousand such jobs fill a quarter of a controller's heap of 64 MB. */
+    private static final long MAX_BYTES_PER_JOB = 16_000;
+
     private final RangeSet<Integer> recordedDoneTasks = TreeRangeSet.create();
     private final TaskNumbers numbers = claimedByPreviousLeader();
 
@@ -114,6 +120,24 @@
         assertEquals(3, numbers.unconfirmedCount());
     }
 
+    /** Leaders ran out of memory when they kept each claimed task of many wide jobs as an entry of its own. */
+    @Test
+    void claimsOfPreviousLeaderNeedNoMemoryPerTask() {
+        allocatedByTakeover(10);
+        long allocatedBytes = allocatedByTakeover(MAX_TASKS);
+        assertTrue(allocatedBytes <= MAX_BYTES_PER_JOB, allocatedBytes + " bytes for one job");
+    }
+
+    /** Returns how many bytes are allocated to take over a job of which all tasks are claimed, and to free them. */
+    private static long allocatedByTakeover(int tasks) {
+        var threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        TaskNumbers takenOver = new TaskNumbers(tasks, TreeRangeSet.create());
+        takenOver.resolveUnconfirmed();
+        assertEquals(tasks, takenOver.freedCount());
+        return threads.getCurrentThreadAllocatedBytes() - before;
+    }
+
     @Test
     void markAllDoneClearsFreedAndUnconfirmedTasks() {
         numbers.markPlaced(0);
