ResourceRequest: contain all that decides which machines a job can use

Cause: a job that finds no machine makes all jobs with the same or a larger request be skipped for the rest of the cycle. The job that failed found none because it alone is excluded from the machine, and the request did not say so.

Change: the request contains the machines on which the job failed. The same cause on related paths, found by reading: services may use reserved capacity, jobs that waited for long may use the headroom of gangs, short deferrable tasks may use on-demand machines. The request contains these too.

--- a/src/main/java/org/granitepath/coordination/gang/GangHeadroom.java
+++ b/src/main/java/org/granitepath/coordination/gang/GangHeadroom.java
@@ -62,11 +62,15 @@
 
     /** Returns whether the headroom allows a task of the job on this machine. Other conditions are not checked. */
     public boolean allows(Machine machine, ActiveJob job, long nowMicros) {
+        return !isPartOfHeadroom(machine) || spareCpuMillis >= job.spec().cpuMillis() || canUseHeadroom(job, nowMicros);
+    }
+
+    /** Returns whether the job can use the headroom itself, and not only the capacity beyond it. */
+    public static boolean canUseHeadroom(ActiveJob job, long nowMicros) {
         JobSpec spec = job.spec();
-        if (!isPartOfHeadroom(machine) || spec.isService() || spec.isGang() || !spec.spotAllowed()) {
-            return true;
-        }
-        return spareCpuMillis >= spec.cpuMillis()
+        return spec.isService()
+                || spec.isGang()
+                || !spec.spotAllowed()
                 || StartDelay.delayMicros(job, nowMicros) > StartDelay.MAX_WITH_FREE_CAPACITY_MICROS;
     }
 
--- a/src/main/java/org/granitepath/coordination/jobs/FaultTracker.java
+++ b/src/main/java/org/granitepath/coordination/jobs/FaultTracker.java
@@ -126,6 +126,20 @@
         return suspect == null || suspect.canTry(machine, job);
     }
 
+    /** Returns the machines that {@link #canTry} excludes for this job although it may accept other jobs. */
+    public Set<Machine> machinesExcludedFor(ActiveJob job) {
+        if (suspects.isEmpty()) {
+            return Set.of();
+        }
+        Set<Machine> excluded = new HashSet<>();
+        suspects.forEach((machine, suspect) -> {
+            if (suspect.failedJobs.contains(job)) {
+                excluded.add(machine);
+            }
+        });
+        return excluded;
+    }
+
     /** Returns whether another task of the job may start on any machine. A suspect job gets only one at a time. */
     public boolean canStartAnother(ActiveJob job) {
         Set<Machine> machines = failedMachines.get(job);
--- a/src/main/java/org/granitepath/coordination/placement/PlacementRules.java
+++ b/src/main/java/org/granitepath/coordination/placement/PlacementRules.java
@@ -1,5 +1,6 @@
 package org.granitepath.coordination.placement;
 
+import java.util.Set;
 import org.granitepath.coordination.jobs.FaultTracker;
 import org.granitepath.coordination.jobs.RuntimeEstimator;
 import org.granitepath.coordination.jobs.TermRecovery;
@@ -78,6 +79,22 @@
         return machine.reservedFor() == null || machine.reservedFor() == job || job.isLiveService();
     }
 
+    /**
+     * Returns the machines that the job alone can't use, because its tasks failed there: other jobs with the same
+     * constraints may.
+     */
+    public Set<Machine> machinesExcludedFor(ActiveJob job) {
+        return faults.machinesExcludedFor(job);
+    }
+
+    /**
+     * Returns the expected run time of a task, in microseconds, by which a deferrable job may or may not use an
+     * on-demand machine: the shorter, the more machines. Returns 0 for a job that is not deferrable.
+     */
+    public long deferrableRunMicros(ActiveJob job) {
+        return job.scheduling().isDeferrable() ? runtimeEstimator.expectedTaskMicros(job) : 0;
+    }
+
     private boolean hasNoExtraCost(Machine machine, ActiveJob job, long nowMicros) {
         return machine.isSpot()
                 || machine.capacity().hasService()
--- a/src/main/java/org/granitepath/coordination/scheduling/TaskScheduler.java
+++ b/src/main/java/org/granitepath/coordination/scheduling/TaskScheduler.java
@@ -50,7 +50,7 @@
      * @return how many tasks of live work have no capacity yet while other tasks are being stopped for them
      */
     int schedule(ActiveJob job, long nowMicros) {
-        ResourceRequest request = ResourceRequest.of(job, zones);
+        ResourceRequest request = requestOf(job, nowMicros);
         if (isUnplaceable(request) || !rules.canStartAnotherTask(job)) {
             return 0;
         }
@@ -68,6 +68,10 @@
         return 0;
     }
 
+    private ResourceRequest requestOf(ActiveJob job, long nowMicros) {
+        return ResourceRequest.of(job, zones, rules, nowMicros);
+    }
+
     private boolean isUnplaceable(ResourceRequest request) {
         return unplaceableRequests.stream().anyMatch(other -> other.isAtMost(request));
     }
@@ -78,15 +82,15 @@
      * @return how many tasks will fit once the stopped tasks are gone; 0 if the job is not live work
      */
     private int preemptForEqualRequests(ActiveJob job, ResourceRequest request, long nowMicros) {
-        int wanted = job.waitingTasks() + waitingWithSameRequest(request);
+        int wanted = job.waitingTasks() + waitingWithSameRequest(request, nowMicros);
         int pending = preemptor.preemptFor(job, wanted, false, nowMicros);
         return LiveWorkBacklog.isLiveWork(job.spec()) ? pending : 0;
     }
 
-    private int waitingWithSameRequest(ResourceRequest request) {
+    private int waitingWithSameRequest(ResourceRequest request, long nowMicros) {
         return candidates
                 .queuedJobs()
-                .filter(job -> ResourceRequest.of(job, zones).equals(request))
+                .filter(job -> requestOf(job, nowMicros).equals(request))
                 .mapToInt(ActiveJob::waitingTasks)
                 .sum();
     }
--- a/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
+++ b/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
@@ -17,6 +17,10 @@
     private static final int MAX_FAILURES_PER_MACHINE = 4;
     /** Half of the shorter boot time: a machine that is returned sooner after its last task is not returned as idle. */
     private static final long MIN_IDLE_TIMEOUT_MICROS = 5 * SECOND / 2;
+    /** Replicas of one CPU; the two machines have 20 CPUs, and neither can hold all replicas. */
+    private static final int REPLICAS_ON_ALL_MACHINES_OF_ZONE = 17;
+    /** No job may be left waiting for longer while a machine that fits has capacity. */
+    private static final long MAX_WAIT_BESIDE_CAPACITY_MICROS = 90 * SECOND;
 
     private static JobSpec job(Simulation simulation, int tasks) {
         return simulation.jobs.withoutDeadline(simulation.jobs.batch(tasks, 15 * SECOND));
@@ -89,4 +93,57 @@
                 .count();
         assertTrue(returned <= 2, returned + " of " + machinesBefore.size() + " machines were returned to the cloud");
     }
+
+    /**
+     * A job that fails wherever it runs is excluded from each machine of its zone. Like jobs behind it in the queue,
+     * which never failed, waited for as long as it did.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23})
+    void jobThatFailsEverywhereDoesNotBlockLikeJobs(long seed) {
+        Simulation simulation = withServicesOnAllMachinesOfZone(seed);
+        JobSpec broken = jobInZone(simulation);
+        simulation.brokenJobs.add(broken.id());
+        simulation.after(40 * SECOND, () -> simulation.users.submit(broken));
+        List<JobSpec> sound = new ArrayList<>();
+        simulation.after(60 * SECOND, () -> {
+            for (int i = 0; i < 3; i++) {
+                sound.add(jobInZone(simulation));
+                simulation.users.submit(sound.get(i));
+            }
+        });
+        simulation.run(200 * SECOND);
+
+        assertRules(simulation);
+        assertDoneWithin(MAX_WAIT_BESIDE_CAPACITY_MICROS, sound, simulation);
+    }
+
+    /**
+     * Returns a deployment whose cloud has one small and one large machine in each zone, on demand. Services keep both
+     * machines of zone "north" and leave capacity for one task of {@link #jobInZone}.
+     */
+    private static Simulation withServicesOnAllMachinesOfZone(long seed) {
+        Simulation simulation = new Simulation(seed, 3, 1);
+        for (int i = 0; i < REPLICAS_ON_ALL_MACHINES_OF_ZONE; i++) {
+            simulation.users.submit(
+                    simulation.jobs.serviceBuilder(1).inZone("north").build());
+        }
+        return simulation;
+    }
+
+    private static JobSpec jobInZone(Simulation simulation) {
+        return simulation
+                .jobs
+                .batchBuilder(1, 5 * SECOND)
+                .inZone("north")
+                .withoutDeadline()
+                .build();
+    }
+
+    private static void assertDoneWithin(long micros, List<JobSpec> jobs, Simulation simulation) {
+        for (JobSpec job : jobs) {
+            long delayMicros = simulation.rules.finishDelayMicros(job.id());
+            assertTrue(delayMicros < micros, job.id() + " done after " + delayMicros / 1e6 + " s");
+        }
+    }
 }
--- a/src/test/java/org/granitepath/simulation/JobBuilder.java
+++ b/src/test/java/org/granitepath/simulation/JobBuilder.java
@@ -2,6 +2,7 @@
 
 import org.granitepath.storage.JobSpec;
 import org.granitepath.storage.Priority;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Builds the spec of a job. By default it belongs to the team without limits, runs on on-demand machines in any zone
@@ -17,6 +18,7 @@
     private final int tasks;
     private Priority priority;
     private String team = "free";
+    private @Nullable String zone;
     private boolean spot;
     private boolean spread;
     private boolean oneZone;
@@ -42,6 +44,12 @@
         return this;
     }
 
+    /** Allows only this zone. */
+    JobBuilder inZone(String name) {
+        zone = name;
+        return this;
+    }
+
     /** Allows spot machines. */
     JobBuilder onSpot() {
         return onSpot(true);
@@ -101,7 +109,7 @@
                 jobs.randomImage(),
                 1.0,
                 null,
-                null,
+                zone,
                 oneZone,
                 spread,
                 spot,
