Quarantine faulty machines for a time instead of draining them for good

Cause: a faulty machine was drained, to be terminated once empty. With a service it never is. DRAINING has no way back, and the suspicion never ended.

Change: a quarantine of 15 s, doubled with each failure up to 60 s, then a probation of one task at a time, jobs that have not failed there first (SuspectMachine). Users let a job wait 90 s beside capacity, so the machine is tried again sooner. An empty quarantined machine is terminated as before.

--- a/src/main/java/org/granitepath/coordination/autoscaling/ScaleIn.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/ScaleIn.java
@@ -98,7 +98,12 @@
         if (released) {
             return TerminationReason.IDLE;
         }
-        boolean drained = machine.phase() == Machine.Phase.DRAINING && machine.isEmpty();
-        return drained ? TerminationReason.DRAINED : null;
+        if (!machine.isEmpty()) {
+            return null;
+        }
+        if (machine.phase() == Machine.Phase.DRAINING) {
+            return TerminationReason.DRAINED;
+        }
+        return machine.phase() == Machine.Phase.READY && machine.isQuarantined() ? TerminationReason.FAULTY : null;
     }
 }
--- a/src/main/java/org/granitepath/coordination/autoscaling/TerminationReason.java
+++ b/src/main/java/org/granitepath/coordination/autoscaling/TerminationReason.java
@@ -12,7 +12,9 @@
     /** The machine has been idle for longer than it pays to keep it. */
     IDLE("idle"),
     /** The machine was drained and is empty. */
-    DRAINED("drained");
+    DRAINED("drained"),
+    /** Tasks of several jobs failed on the machine, and it is empty. */
+    FAULTY("faulty");
 
     private final String text;
 
--- a/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
@@ -78,10 +78,20 @@
         tasks.evacuate(machine, noticeMicros);
     }
 
-    /** Drains machines that count as faulty because tasks of several jobs failed on each of them. */
-    void drainFaulty(List<Machine> faulty) {
+    /**
+     * Quarantines machines that count as faulty because tasks of several jobs failed on each of them. Their tasks keep
+     * running; a machine that has none is terminated.
+     */
+    void quarantine(List<Machine> faulty) {
         for (Machine machine : faulty) {
-            drain(machine, "faulty: tasks of several jobs failed there");
+            machine.quarantine("faulty: tasks of several jobs failed there");
+        }
+    }
+
+    /** Ends the quarantine of the machine if its time is over, so that a task can show whether the machine works. */
+    public void endQuarantineIfDue(Machine machine) {
+        if (faults.endQuarantineIfDue(machine, timers.nowMicros())) {
+            machine.endQuarantine("a task may show whether it works again");
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/fleet/TaskStatusUpdater.java
+++ b/src/main/java/org/granitepath/coordination/fleet/TaskStatusUpdater.java
@@ -83,7 +83,7 @@
         placement.markRunning(nowMicros);
         if (placement.runTimeMicros(nowMicros) >= FaultTracker.HEALTHY_RUN_MICROS
                 && faults.isUnderObservation(placement)) {
-            machines.drainFaulty(faults.recordSuccess(placement, nowMicros));
+            machines.quarantine(faults.recordSuccess(placement, nowMicros));
         }
     }
 
@@ -111,7 +111,7 @@
                     machine.id(),
                     status.task(),
                     status.attempt());
-            machines.drainFaulty(faults.recordFailure(machine, job, nowMicros));
+            machines.quarantine(faults.recordFailure(machine, job, nowMicros));
         } else if (wasStartRefused(status)) {
             job.scheduling().delayStartsUntil(nowMicros + REFUSED_START_RETRY_DELAY_MICROS);
         }
@@ -141,7 +141,7 @@
     private void onCompleted(Placement placement, long nowMicros) {
         ActiveJob job = placement.job();
         markDone(job, placement.task().index());
-        machines.drainFaulty(faults.recordSuccess(placement, nowMicros));
+        machines.quarantine(faults.recordSuccess(placement, nowMicros));
         if (isRuntimeKnown(placement)) {
             runtimeEstimator.recordFinishedTask(job, placement.runTimeMicros(nowMicros));
         }
--- a/src/main/java/org/granitepath/coordination/jobs/FaultTracker.java
+++ b/src/main/java/org/granitepath/coordination/jobs/FaultTracker.java
@@ -15,17 +15,17 @@
  *
  * <p>A failure makes the machine a suspect. A suspect gets one task at a time, of a job that has not failed there. It
  * is cleared by a task that started after the failure and ran to its end or for {@link #HEALTHY_RUN_MICROS}. A second
- * job that fails there makes the machine faulty. A job is proven healthy once any of its tasks ran that long. Until
- * then its failures on several machines, none of which is known to be faulty, count against the job: it is retried at
- * growing intervals, one task at a time, and its failures make no further machine a suspect.
+ * job that fails there makes the machine faulty: it is quarantined, and tried again after a growing time (see {@link
+ * SuspectMachine}). A job is proven healthy once any of its tasks ran that long. Until then its failures on several
+ * machines, none of which is known to be faulty, count against the job: it is retried at growing intervals, one task at
+ * a time, and its failures make no further machine a suspect. Failures on a faulty machine count against their jobs as
+ * soon as the machine is cleared.
  */
 public final class FaultTracker {
     /** A task that has run for this long is healthy, and so is the machine on which it started. */
     public static final long HEALTHY_RUN_MICROS = 5_000_000;
     /** A job that is not proven healthy and has failed on this many machines is itself a suspect. */
     private static final int MIN_MACHINES_OF_SUSPECT_JOB = 3;
-    /** A machine on which this many jobs failed, with no success in between, is faulty. */
-    private static final int MIN_JOBS_OF_FAULTY_MACHINE = 2;
 
     /** Doubled for each machine on which the job failed. */
     private static final long BASE_BACKOFF_MICROS = 250_000;
@@ -33,37 +33,7 @@
     private static final long MAX_BACKOFF_MICROS = 60_000_000;
     private static final int MAX_DOUBLINGS = 8;
 
-    /** A machine on which tasks have failed since it was last proven healthy. */
-    private static final class Suspect {
-        private final Set<ActiveJob> failedJobs = new HashSet<>();
-        private long failedMicros;
-        private boolean faulty;
-
-        /** Records a failure of a task of the job and returns whether it makes the machine faulty. */
-        boolean recordFailure(ActiveJob job, long nowMicros) {
-            failedMicros = nowMicros;
-            failedJobs.add(job);
-            if (faulty || failedJobs.size() < MIN_JOBS_OF_FAULTY_MACHINE) {
-                return false;
-            }
-            faulty = true;
-            return true;
-        }
-
-        /** Returns whether a task of the job may start here: one task at a time, and of no job that failed here. */
-        boolean canTry(Machine machine, ActiveJob job) {
-            return !faulty
-                    && !failedJobs.contains(job)
-                    && machine.placements().stream().noneMatch(placement -> placement.placedMicros() > failedMicros);
-        }
-
-        /** Returns whether a task that ran here proves the machine healthy, since it began after the last failure. */
-        boolean isClearedBy(Placement placement) {
-            return !faulty && !placement.isAdopted() && placement.runningSinceMicros() > failedMicros;
-        }
-    }
-
-    private final Map<Machine, Suspect> suspects = new HashMap<>();
+    private final Map<Machine, SuspectMachine> suspects = new HashMap<>();
     /** For each job not proven healthy, the machines on which it failed and that are not known to be faulty. */
     private final Map<ActiveJob, Set<Machine>> failedMachines = new HashMap<>();
 
@@ -90,11 +60,13 @@
      */
     public List<Machine> recordSuccess(Placement placement, long nowMicros) {
         ActiveJob job = placement.job();
-        Suspect suspect = suspects.get(placement.machine());
+        SuspectMachine suspect = suspects.get(placement.machine());
+        boolean jobIsNewlyHealthy = healthyJobs.add(job);
         if (suspect != null && suspect.isClearedBy(placement)) {
             suspects.remove(placement.machine());
+            blameJobs(suspect.failedJobs(), placement.machine());
         }
-        if (!healthyJobs.add(job)) {
+        if (!jobIsNewlyHealthy) {
             return List.of();
         }
         Set<Machine> machines = failedMachines.remove(job);
@@ -107,6 +79,17 @@
                 .toList();
     }
 
+    /** Counts failures on a machine that has been proven healthy against the jobs, unless these are healthy, too. */
+    private void blameJobs(Set<ActiveJob> failedJobs, Machine machine) {
+        for (ActiveJob failedJob : failedJobs) {
+            if (!healthyJobs.contains(failedJob)) {
+                failedMachines
+                        .computeIfAbsent(failedJob, unknown -> new LinkedHashSet<>())
+                        .add(machine);
+            }
+        }
+    }
+
     /** Returns whether the task, if it keeps running, could prove that its machine or its job is healthy. */
     public boolean isUnderObservation(Placement placement) {
         return suspects.containsKey(placement.machine()) || !healthyJobs.contains(placement.job());
@@ -118,22 +101,28 @@
     }
 
     /**
-     * Returns whether a task of the job may start on the machine. A suspect takes only one task at a time, and none of
-     * a job that failed there.
+     * Returns whether a task of the job may start on the machine now. A suspect takes only one task at a time, and none
+     * of a job that failed there.
      */
-    public boolean canTry(Machine machine, ActiveJob job) {
-        Suspect suspect = suspects.get(machine);
-        return suspect == null || suspect.canTry(machine, job);
+    public boolean canTry(Machine machine, ActiveJob job, long nowMicros) {
+        SuspectMachine suspect = suspects.get(machine);
+        return suspect == null || suspect.canTry(machine, job, nowMicros);
+    }
+
+    /** Ends the quarantine of the machine if its time is over, and returns whether it did. */
+    public boolean endQuarantineIfDue(Machine machine, long nowMicros) {
+        SuspectMachine suspect = suspects.get(machine);
+        return suspect != null && suspect.endQuarantineIfDue(nowMicros);
     }
 
     /** Returns the machines that {@link #canTry} excludes for this job although it may accept other jobs. */
-    public Set<Machine> machinesExcludedFor(ActiveJob job) {
+    public Set<Machine> machinesExcludedFor(ActiveJob job, long nowMicros) {
         if (suspects.isEmpty()) {
             return Set.of();
         }
         Set<Machine> excluded = new HashSet<>();
         suspects.forEach((machine, suspect) -> {
-            if (suspect.failedJobs.contains(job)) {
+            if (suspect.isExcluded(job, nowMicros)) {
                 excluded.add(machine);
             }
         });
@@ -156,17 +145,17 @@
     public void forget(ActiveJob job) {
         healthyJobs.remove(job);
         failedMachines.remove(job);
-        suspects.values().forEach(suspect -> suspect.failedJobs.remove(job));
+        suspects.values().forEach(suspect -> suspect.forget(job));
     }
 
     /** Records a failure against the machine and returns whether it makes the machine faulty. */
     private boolean recordMachineFailure(Machine machine, ActiveJob job, long nowMicros) {
-        Suspect suspect = suspects.computeIfAbsent(machine, unknown -> new Suspect());
+        SuspectMachine suspect = suspects.computeIfAbsent(machine, unknown -> new SuspectMachine());
         if (!suspect.recordFailure(job, nowMicros)) {
             return false;
         }
         // The failures on a faulty machine are not the fault of the jobs, so they need not wait any longer.
-        for (ActiveJob failedJob : suspect.failedJobs) {
+        for (ActiveJob failedJob : suspect.failedJobs()) {
             Set<Machine> machines = failedMachines.get(failedJob);
             if (machines != null && machines.remove(machine) && machines.isEmpty()) {
                 failedJob.scheduling().delayStartsUntil(nowMicros);
--- a/src/main/java/org/granitepath/coordination/placement/PlacementRules.java
+++ b/src/main/java/org/granitepath/coordination/placement/PlacementRules.java
@@ -68,7 +68,7 @@
         return machine.isAllowedFor(job.spec())
                 && job.canPlaceInZone(machine.zone())
                 && (!job.scheduling().isDeferrable() || hasNoExtraCost(machine, job, nowMicros))
-                && faults.canTry(machine, job);
+                && faults.canTry(machine, job, nowMicros);
     }
 
     /**
@@ -83,8 +83,8 @@
      * Returns the machines that the job alone can't use, because its tasks failed there: other jobs with the same
      * constraints may.
      */
-    public Set<Machine> machinesExcludedFor(ActiveJob job) {
-        return faults.machinesExcludedFor(job);
+    public Set<Machine> machinesExcludedFor(ActiveJob job, long nowMicros) {
+        return faults.machinesExcludedFor(job, nowMicros);
     }
 
     /**
--- a/src/main/java/org/granitepath/coordination/scheduling/ResourceRequest.java
+++ b/src/main/java/org/granitepath/coordination/scheduling/ResourceRequest.java
@@ -54,7 +54,7 @@
                 spec.allowedTypeNames(),
                 spec.zone(),
                 closedZones,
-                rules.machinesExcludedFor(job),
+                rules.machinesExcludedFor(job, nowMicros),
                 spec.spotAllowed(),
                 job.scheduling().isDeferrable(),
                 rules.deferrableRunMicros(job),
--- a/src/main/java/org/granitepath/coordination/term/MachineChecks.java
+++ b/src/main/java/org/granitepath/coordination/term/MachineChecks.java
@@ -11,7 +11,7 @@
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.model.Placement;
 
-/** The periodic checks of each machine: its lease, whether it can be reached, and its placements. */
+/** The periodic checks of each machine: its lease, its quarantine, whether it can be reached, and its placements. */
 final class MachineChecks {
     private final Config config;
     private final Leadership leadership;
@@ -42,6 +42,7 @@
     /** Makes all checks of one machine. */
     void check(Machine machine, long nowMicros) {
         checkLease(machine);
+        machines.endQuarantineIfDue(machine);
         sender.probeIfOverdue(machine, nowMicros);
         sender.sendTokenIfUnacknowledged(machine, nowMicros);
         checkPlacements(machine, nowMicros);
--- a/src/test/java/org/granitepath/coordination/autoscaling/ScaleInTest.java
+++ b/src/test/java/org/granitepath/coordination/autoscaling/ScaleInTest.java
@@ -9,7 +9,9 @@
 import org.granitepath.coordination.fleet.FailureDetector;
 import org.granitepath.coordination.gang.GangHeadroom;
 import org.granitepath.coordination.leadership.Peers;
+import org.granitepath.coordination.model.ActiveJob;
 import org.granitepath.coordination.model.Machine;
+import org.granitepath.coordination.model.Placement;
 import org.granitepath.coordination.placement.BatchPlanner;
 import org.granitepath.coordination.placement.PlacementFixture;
 import org.granitepath.storage.Priority;
@@ -60,6 +62,17 @@
         assertEquals(List.of("failed"), scaleIn.chooseMachines(NOW));
     }
 
+    @Test
+    void choosesQuarantinedMachineOnceItIsEmpty() {
+        Machine machine = fixture.addMachine("m", false);
+        ActiveJob service = fixture.service("service", Priority.CRITICAL).build();
+        Placement replica = fixture.addRunningTask(service, machine, SECOND);
+        machine.quarantine("test");
+        assertEquals(List.of(), scaleIn.chooseMachines(NOW));
+        fixture.tasks.free(replica, "test");
+        assertEquals(List.of("m"), scaleIn.chooseMachines(NOW));
+    }
+
     @Test
     void choosesUnneededMachine() {
         Machine machine = fixture.addMachine("idle", false);
--- a/src/test/java/org/granitepath/coordination/placement/PlacementRulesTest.java
+++ b/src/test/java/org/granitepath/coordination/placement/PlacementRulesTest.java
@@ -40,6 +40,14 @@
         assertFalse(fixture.rules.isEligible(machine, batch, NOW));
     }
 
+    @Test
+    void quarantinedMachineIsNotEligibleUntilItsQuarantineEnds() {
+        machine.quarantine("test");
+        assertFalse(fixture.rules.isEligible(machine, batch, NOW));
+        machine.endQuarantine("test");
+        assertTrue(fixture.rules.isEligible(machine, batch, NOW));
+    }
+
     @Test
     void unresponsiveMachineIsNotEligible() {
         assertFalse(fixture.rules.isEligible(machine, batch, NOW + 60 * SECOND));
--- a/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
+++ b/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
@@ -1,6 +1,7 @@
 package org.granitepath.simulation;
 
 import static org.granitepath.simulation.SimulationAssertions.assertRules;
+import static org.granitepath.simulation.SimulationAssertions.assertRulesAndAllDone;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -118,6 +119,42 @@
         assertDoneWithin(MAX_WAIT_BESIDE_CAPACITY_MICROS, sound, simulation);
     }
 
+    /**
+     * All machines of a zone are faulty for a while and hold services, and the cloud has no others. They were never used
+     * again, though they worked, since they were drained and never empty.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33})
+    void machinesWithServicesAreUsedAgainOnceTheyWork(long seed) {
+        Simulation simulation = withServicesOnAllMachinesOfZone(seed);
+        List<SimWorker> faulty = new ArrayList<>();
+        simulation.after(60 * SECOND, () -> {
+            simulation.cloud.workers().stream()
+                    .filter(FaultyMachinesTest::holdsTasks)
+                    .forEach(faulty::add);
+            faulty.forEach(SimWorker::becomeFaulty);
+        });
+        List<JobSpec> jobs = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            simulation.after((62 + i) * SECOND, () -> {
+                JobSpec job = jobInZone(simulation);
+                jobs.add(job);
+                simulation.users.submit(job);
+            });
+        }
+        simulation.after(90 * SECOND, () -> faulty.forEach(SimWorker::recover));
+        simulation.runWithLivenessChecks(90 * SECOND, 300 * SECOND);
+
+        assertRulesAndAllDone(simulation);
+        int failures = faulty.stream().mapToInt(SimWorker::failedTaskCount).sum();
+        assertTrue(failures >= 2, failures + " failures");
+        assertDoneWithin(MAX_WAIT_BESIDE_CAPACITY_MICROS + 30 * SECOND, jobs, simulation);
+    }
+
+    private static boolean holdsTasks(SimWorker worker) {
+        return worker.attempts().hasRunningTask();
+    }
+
     /**
      * Returns a deployment whose cloud has one small and one large machine in each zone, on demand. Services keep both
      * machines of zone "north" and leave capacity for one task of {@link #jobInZone}.
