--- a/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
@@ -79,12 +79,13 @@
     }
 
     /**
-     * Quarantines machines that count as faulty because tasks of several jobs failed on each of them. Their tasks keep
-     * running; a machine that has none is terminated.
+     * Quarantines machines that count as faulty because tasks of several jobs failed on each of them. Tasks that were
+     * not sent yet are placed elsewhere, and the others keep running; a machine that has none is terminated.
      */
     void quarantine(List<Machine> faulty) {
         for (Machine machine : faulty) {
             machine.quarantine("faulty: tasks of several jobs failed there");
+            tasks.withdrawUnsent(machine, "its machine is faulty");
         }
     }
 
--- a/src/main/java/org/granitepath/coordination/jobs/TaskLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/jobs/TaskLifecycle.java
@@ -168,6 +168,15 @@
         jobs.removeIfEnded(placement.job());
     }
 
+    /** Withdraws the tasks whose start was not sent to the machine yet, so that they are placed on other machines. */
+    public void withdrawUnsent(Machine machine, String why) {
+        for (Placement placement : List.copyOf(machine.placements())) {
+            if (placement.phase() == Placement.Phase.ASSIGNED) {
+                stop(placement, 0, why);
+            }
+        }
+    }
+
     /** Frees all tasks of a machine that is proven to have none. */
     public void freeAll(Machine machine, String why) {
         for (Placement placement : List.copyOf(machine.placements())) {
--- a/src/test/java/org/granitepath/coordination/fleet/TaskStatusUpdaterTest.java
+++ b/src/test/java/org/granitepath/coordination/fleet/TaskStatusUpdaterTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.granitepath.coordination.jobs.FaultTracker;
 import org.granitepath.coordination.model.ActiveJob;
+import org.granitepath.coordination.model.Fixtures;
 import org.granitepath.coordination.model.GangAttempt;
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.model.Placement;
@@ -73,6 +74,19 @@
         assertEquals(placement.task().index(), job.firstFreedTask());
     }
 
+    /** A task whose start was not sent yet stayed assigned to the faulty machine, which was sent no starts any more. */
+    @Test
+    void taskNotSentYetLeavesFaultyMachine() {
+        ActiveJob job = fixture.job(JobSpec.Shape.BATCH);
+        Placement sent = fixture.startDirectly(job, machine);
+        Placement unsent = fixture.tasks.start(job, machine, fixture.timers.nowMicros());
+        fixture.faults.recordFailure(machine, Fixtures.job(), fixture.timers.nowMicros());
+        update(sent, exited(sent, ExitCause.FAILED));
+        assertTrue(machine.isQuarantined());
+        assertFalse(unsent.isActive());
+        assertTrue(job.hasStartableTask());
+    }
+
     @ParameterizedTest
     @EnumSource(names = {"UNKNOWN_JOB", "INSUFFICIENT_CAPACITY"})
     void refusedStartIsRetriedAfterOneSecond(ExitCause cause) {
