Detect workers that restart in place, so that late copies of starts do not match

Its heartbeats are numbered anew and counted as late copies of old ones; the answer gave it the present fencing token, under which copies of the latest starts match, and its tasks went on counting as running.

Change: a restart is proven by a newer message under a lower token, or by the response to a direct call that is numbered before the call; an old heartbeat under a lower token makes the leader ask. The worker learns a new token and no earlier one, and its tasks are freed under that token.

--- a/src/main/java/org/granitepath/coordination/fleet/CommandSender.java
+++ b/src/main/java/org/granitepath/coordination/fleet/CommandSender.java
@@ -64,6 +64,7 @@
     private boolean canReceiveCommands(Machine machine, long nowMicros) {
         return !machine.contact().hasCallInFlight()
                 && machine.contact().agentEpoch() >= 0
+                && !machine.contact().isRestarted()
                 && !fleet.isUnresponsive(machine, nowMicros);
     }
 
@@ -126,6 +127,7 @@
     private boolean isProbeDue(Machine machine, long nowMicros) {
         return fleet.isHeartbeatOverdue(machine, nowMicros)
                 && !machine.contact().isFenced()
+                && !machine.contact().isRestarted()
                 && !machine.isAwaitingFirstHeartbeat()
                 && !machine.contact().hasCallInFlight()
                 && nowMicros - machine.contact().lastCallMicros()
--- a/src/main/java/org/granitepath/coordination/fleet/HeartbeatReconciler.java
+++ b/src/main/java/org/granitepath/coordination/fleet/HeartbeatReconciler.java
@@ -5,6 +5,7 @@
 import org.granitepath.coordination.jobs.TermRecovery;
 import org.granitepath.coordination.model.Fleet;
 import org.granitepath.coordination.model.Machine;
+import org.granitepath.coordination.model.WorkerContact;
 import org.granitepath.coordination.ports.Heartbeat;
 import org.granitepath.storage.Timers;
 
@@ -50,6 +51,9 @@
      *     one, or it carries a higher fencing token than the machine's current one
      */
     public boolean reconcile(Machine machine, Heartbeat heartbeat, MessageOrigin origin) {
+        if (showsRestart(machine, heartbeat, origin)) {
+            machines.onWorkerRestarted(machine);
+        }
         if (!isRelevant(machine, heartbeat)) {
             return false;
         }
@@ -71,6 +75,18 @@
         return true;
     }
 
+    /**
+     * Returns whether the message proves that the worker has restarted. A heartbeat that is numbered before the latest
+     * message proves nothing, since it may be a late copy; see {@link WorkerCalls#requestStatus}.
+     */
+    private static boolean showsRestart(Machine machine, Heartbeat heartbeat, MessageOrigin origin) {
+        WorkerContact contact = machine.contact();
+        boolean isNewer = heartbeat.isNewerThan(contact.agentEpoch(), contact.sequence());
+        return !machine.isGone()
+                && ((isNewer && contact.isBelowReportedToken(heartbeat))
+                        || (origin == MessageOrigin.CALL_RESPONSE && contact.isNumberedBeforeCall(heartbeat)));
+    }
+
     /**
      * Returns whether the machine is not gone, and the message is newer than the last one and carries no higher token
      * than the machine's current one.
--- a/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
+++ b/src/main/java/org/granitepath/coordination/fleet/MachineLifecycle.java
@@ -8,6 +8,7 @@
 import org.granitepath.coordination.jobs.TermRecovery;
 import org.granitepath.coordination.model.Fleet;
 import org.granitepath.coordination.model.Machine;
+import org.granitepath.coordination.model.Placement;
 import org.granitepath.storage.Micros;
 import org.granitepath.storage.Timers;
 import org.slf4j.Logger;
@@ -119,6 +120,21 @@
         loop.requestCycle();
     }
 
+    /**
+     * Handles the proof that the machine's worker has restarted. All its tasks have ended, but it has forgotten them
+     * together with its fencing token, so a late copy of a start would be carried out again. The tasks are freed once
+     * the worker has acknowledged a new fencing token, under which no start was sent before.
+     */
+    void onWorkerRestarted(Machine machine) {
+        LOG.info(
+                "machine {}: its worker has restarted and lost its {} tasks",
+                machine.id(),
+                machine.placements().size());
+        machine.contact().recordRestart();
+        machine.placements().forEach(Placement::markRepeatable);
+        inventory.requestToken(machine, "its worker has restarted");
+    }
+
     /**
      * Called when the cloud has terminated the machine with this id. Removes the machine if it is in the fleet, and
      * marks the id as terminated, so that delayed heartbeats of the machine are recognized.
--- a/src/main/java/org/granitepath/coordination/fleet/TakeoverCalls.java
+++ b/src/main/java/org/granitepath/coordination/fleet/TakeoverCalls.java
@@ -62,11 +62,12 @@
         return callsInFlight < config.limits().maxConcurrentCalls() * 2 / 3;
     }
 
-    /** Returns whether the machine has not confirmed the current fencing token yet and is not fenced against calls. */
+    /** Returns whether the machine has not confirmed the current fencing token yet and may receive it by a call. */
     private static boolean isAwaited(Machine machine) {
         return machine.isAwaitingFirstHeartbeat()
                 && machine.phase() == Machine.Phase.UNCONFIRMED
-                && !machine.contact().isFenced();
+                && !machine.contact().isFenced()
+                && !machine.contact().isRestarted();
     }
 
     private void call(Machine machine) {
--- a/src/main/java/org/granitepath/coordination/fleet/TokenRaiseHandler.java
+++ b/src/main/java/org/granitepath/coordination/fleet/TokenRaiseHandler.java
@@ -24,6 +24,7 @@
      */
     public void onTokenRaised(Machine machine) {
         long nowMicros = timers.nowMicros();
+        machine.contact().clearRestart();
         if (fleet.isUnresponsive(machine, nowMicros)) {
             machine.contact().fence();
             extendLeaseInPeerZone(machine, nowMicros);
--- a/src/main/java/org/granitepath/coordination/fleet/WorkerCalls.java
+++ b/src/main/java/org/granitepath/coordination/fleet/WorkerCalls.java
@@ -6,6 +6,7 @@
 import org.granitepath.coordination.jobs.SchedulingLoop;
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.model.Placement;
+import org.granitepath.coordination.model.WorkerContact;
 import org.granitepath.coordination.ports.Heartbeat;
 import org.granitepath.coordination.ports.WorkerCommand;
 import org.granitepath.coordination.ports.WorkerPort;
@@ -13,6 +14,9 @@
 
 /** Makes direct calls to workers, limits how many are in flight, and processes their responses. */
 public final class WorkerCalls {
+    /** Lower than any token that a worker has received, so a call under it changes nothing. */
+    private static final long NO_TOKEN = 0;
+
     private final Config config;
     private final WorkerPort workers;
     private final MachineInventory inventory;
@@ -59,11 +63,13 @@
 
     /**
      * Sends the worker its current fencing token by a call without commands. Does nothing when too many calls are in
-     * flight, a call to this worker is in flight, or the agent epoch of the worker is unknown; a later periodic check
-     * tries again.
+     * flight, a call to this worker is in flight, the agent epoch of the worker is unknown, or the worker has restarted
+     * and must not learn the present token; a later periodic check tries again.
      */
     void sendToken(Machine machine) {
-        if (!machine.contact().hasCallInFlight() && machine.contact().agentEpoch() >= 0 && canCall()) {
+        WorkerContact contact = machine.contact();
+        boolean mayLearnToken = contact.agentEpoch() >= 0 && !contact.isRestarted();
+        if (!contact.hasCallInFlight() && mayLearnToken && canCall()) {
             callWithoutCommands(machine, () -> {});
         }
     }
@@ -77,6 +83,16 @@
         call(machine, List.of(), List.of(), onEnd);
     }
 
+    /**
+     * Asks the worker for its status without sending it a fencing token, to find out whether it has restarted. Does
+     * nothing when too many calls are in flight or a call to this worker is.
+     */
+    public void requestStatus(Machine machine) {
+        if (!machine.contact().hasCallInFlight() && canProbe()) {
+            send(machine, NO_TOKEN, List.of(), List.of(), () -> {});
+        }
+    }
+
     /**
      * Calls the worker with these commands under the current fencing token of its machine.
      *
@@ -84,9 +100,13 @@
      * @param onEnd runs once the call has ended, with or without a response
      */
     void call(Machine machine, List<WorkerCommand> commands, List<Placement> starts, Runnable onEnd) {
+        send(machine, machine.fencingToken(), commands, starts, onEnd);
+    }
+
+    private void send(
+            Machine machine, long fencingToken, List<WorkerCommand> commands, List<Placement> starts, Runnable onEnd) {
         machine.contact().beginCall(timers.nowMicros());
         callsInFlight++;
-        long fencingToken = machine.fencingToken();
         // The agent epoch of a machine taken over is unknown; the response to a wrong guess contains the actual one.
         long agentEpoch = Math.max(1, machine.contact().agentEpoch());
         workers.sendCommands(machine.contact().address(), fencingToken, agentEpoch, commands, reply -> {
--- a/src/main/java/org/granitepath/coordination/model/Placement.java
+++ b/src/main/java/org/granitepath/coordination/model/Placement.java
@@ -151,6 +151,16 @@
         transition(Phase.SENT, "sent in a direct call");
     }
 
+    /**
+     * Notes that the machine's worker has restarted: the attempt is gone, but a late copy of its start may be carried
+     * out once more until the worker has a higher fencing token.
+     */
+    public void markRepeatable() {
+        if (phase != Phase.ASSIGNED) {
+            delivery.markRepeatable(machine.fencingToken());
+        }
+    }
+
     /** Notes that the direct call under the given fencing token was answered. */
     public void acknowledgeDirectStart(long token) {
         delivery.acknowledge(token);
@@ -162,8 +172,8 @@
     }
 
     /**
-     * Returns whether a direct start under the given fencing token or a later one has not been answered. The worker may
-     * still carry it out.
+     * Returns whether a direct start under the given fencing token or a later one has not been answered, or whether the
+     * worker has restarted since. The worker may still carry it out.
      */
     public boolean hasUnacknowledgedStart(long token) {
         return delivery.hasUnacknowledgedStart(token);
--- a/src/main/java/org/granitepath/coordination/model/StartDelivery.java
+++ b/src/main/java/org/granitepath/coordination/model/StartDelivery.java
@@ -42,6 +42,11 @@
         unacknowledgedToken = token;
     }
 
+    /** Notes that the worker has restarted: any start under the given fencing token may be carried out once more. */
+    void markRepeatable(long token) {
+        unacknowledgedToken = token;
+    }
+
     /** Notes that the call under the given fencing token was answered. Answers to earlier calls have no effect. */
     void acknowledge(long token) {
         if (unacknowledgedToken == token) {
@@ -64,7 +69,10 @@
         return sentInResponse;
     }
 
-    /** Returns whether a direct start under the given fencing token or a later one has not been answered. */
+    /**
+     * Returns whether a direct start under the given fencing token or a later one has not been answered, or may be
+     * carried out once more.
+     */
     boolean hasUnacknowledgedStart(long token) {
         return unacknowledgedToken != NO_TOKEN && unacknowledgedToken >= token;
     }
--- a/src/main/java/org/granitepath/coordination/model/WorkerContact.java
+++ b/src/main/java/org/granitepath/coordination/model/WorkerContact.java
@@ -23,12 +23,18 @@
     private String address;
     private long agentEpoch = UNKNOWN_AGENT_EPOCH;
     private long sequence = NO_SEQUENCE;
+    private long reportedToken;
+    private boolean restarted;
     private long lastHeartbeatMicros;
     private long leaseExpiryMicros;
     private boolean fenced;
     private boolean probeFailed;
     private long lastCallMicros;
     private boolean callInFlight;
+    /** The number of the worker's latest message when the latest call began. */
+    private long agentEpochAtCall = UNKNOWN_AGENT_EPOCH;
+
+    private long sequenceAtCall = NO_SEQUENCE;
     /** The attempts started by a direct command, each with the fencing token of the command. */
     private final Long2LongOpenHashMap tokensOfDirectStarts = new Long2LongOpenHashMap();
 
@@ -65,9 +71,42 @@
     public void recordMessage(Heartbeat message) {
         agentEpoch = message.agentEpoch();
         sequence = message.sequence();
+        reportedToken = message.fencingToken();
         address = message.address();
     }
 
+    /**
+     * Returns whether the message carries a lower fencing token than the worker's latest one. A worker never forgets a
+     * token, so such a message is either older than the latest one, or the worker has restarted.
+     */
+    public boolean isBelowReportedToken(Heartbeat message) {
+        return message.fencingToken() < reportedToken;
+    }
+
+    /**
+     * Records that the worker has restarted, so it has forgotten its tasks, its agent epoch and its fencing token. The
+     * next message is accepted whatever its number. Until {@link #clearRestart}, the worker must not learn the machine's
+     * current fencing token, since late copies of commands under that token would be carried out.
+     */
+    public void recordRestart() {
+        restarted = true;
+        agentEpoch = UNKNOWN_AGENT_EPOCH;
+        sequence = NO_SEQUENCE;
+        agentEpochAtCall = UNKNOWN_AGENT_EPOCH;
+        sequenceAtCall = NO_SEQUENCE;
+        reportedToken = 0;
+    }
+
+    /** Returns whether the worker has restarted and no fencing token has been drawn for the machine since. */
+    public boolean isRestarted() {
+        return restarted;
+    }
+
+    /** Notes that the machine has a fencing token under which no command was sent before the worker restarted. */
+    public void clearRestart() {
+        restarted = false;
+    }
+
     /**
      * Records a heartbeat that the worker sent on its own. Responses to direct calls do not count here, because the
      * worker's lease expires without heartbeats in any case.
@@ -149,6 +188,16 @@
         callInFlight = true;
         fenced = false;
         lastCallMicros = nowMicros;
+        agentEpochAtCall = agentEpoch;
+        sequenceAtCall = sequence;
+    }
+
+    /**
+     * Returns whether the response to the latest call is numbered like a message from before that call. The worker
+     * created it after the call began, so it must have restarted and begun to count anew.
+     */
+    public boolean isNumberedBeforeCall(Heartbeat response) {
+        return !response.isNewerThan(agentEpochAtCall, sequenceAtCall);
     }
 
     /** Notes that the direct call was answered or given up. */
--- a/src/main/java/org/granitepath/coordination/term/HeartbeatHandler.java
+++ b/src/main/java/org/granitepath/coordination/term/HeartbeatHandler.java
@@ -4,6 +4,7 @@
 import org.granitepath.coordination.fleet.MachineCommands;
 import org.granitepath.coordination.fleet.MachineLifecycle;
 import org.granitepath.coordination.fleet.MessageOrigin;
+import org.granitepath.coordination.fleet.WorkerCalls;
 import org.granitepath.coordination.jobs.SchedulingLoop;
 import org.granitepath.coordination.leadership.Leadership;
 import org.granitepath.coordination.model.Fleet;
@@ -24,6 +25,7 @@
     private final MachineLifecycle machines;
     private final HeartbeatReconciler reconciler;
     private final MachineCommands machineCommands;
+    private final WorkerCalls calls;
     private final SchedulingLoop loop;
 
     /** Creates the handler for one term. */
@@ -34,6 +36,7 @@
             MachineLifecycle machines,
             HeartbeatReconciler reconciler,
             MachineCommands machineCommands,
+            WorkerCalls calls,
             SchedulingLoop loop) {
         this.term = term;
         this.replica = replica;
@@ -41,6 +44,7 @@
         this.machines = machines;
         this.reconciler = reconciler;
         this.machineCommands = machineCommands;
+        this.calls = calls;
         this.loop = loop;
     }
 
@@ -59,6 +63,9 @@
         if (!reconciler.reconcile(machine, heartbeat, MessageOrigin.HEARTBEAT)) {
             return answerOutdated(machine, heartbeat);
         }
+        if (machine.contact().isRestarted()) {
+            return new HeartbeatResponse.Unavailable(); // it must not learn the present fencing token
+        }
         loop.runCycleIfDue();
         return new HeartbeatResponse.Accepted(machine.fencingToken(), machineCommands.collectForResponse(machine));
     }
@@ -95,10 +102,16 @@
     /**
      * Answers a heartbeat that is older than the worker's answer to a direct call, which has arrived already. The
      * heartbeat contains nothing new, so it is not evaluated. A worker of the current agent epoch is still accepted,
-     * since it reports to the right controller, and is told which attempts to stop or clear.
+     * since it reports to the right controller, and is told which attempts to stop or clear. A heartbeat under an
+     * earlier fencing token may also come from a worker that has restarted and counts anew. The worker is asked, and
+     * learns no token meanwhile.
      */
-    private static HeartbeatResponse answerOutdated(Machine machine, Heartbeat heartbeat) {
+    private HeartbeatResponse answerOutdated(Machine machine, Heartbeat heartbeat) {
         machine.contact().clearFence();
+        if (!machine.isGone() && machine.contact().isBelowReportedToken(heartbeat)) {
+            calls.requestStatus(machine);
+            return new HeartbeatResponse.Unavailable();
+        }
         boolean isCurrentAgentEpoch =
                 heartbeat.agentEpoch() == machine.contact().agentEpoch();
         return !machine.isGone() && isCurrentAgentEpoch
--- a/src/main/java/org/granitepath/coordination/term/LeaderTermFactory.java
+++ b/src/main/java/org/granitepath/coordination/term/LeaderTermFactory.java
@@ -224,7 +224,7 @@
                 termEnd,
                 new TermRecords(term, replica, fleet, inventory, recovery, jobs),
                 new TakeoverCalls(config, fleet, calls, timers, termEnd::isEnded),
-                new HeartbeatHandler(term, replica, fleet, machines, reconciler, machineCommands, loop),
+                new HeartbeatHandler(term, replica, fleet, machines, reconciler, machineCommands, calls, loop),
                 createPeriodicChecks(),
                 new TermMachineTypes(config, replica, writeQueue, fleet, loop),
                 createAutoscaler(),
--- a/src/test/java/org/granitepath/coordination/fleet/FleetFixture.java
+++ b/src/test/java/org/granitepath/coordination/fleet/FleetFixture.java
@@ -60,17 +60,17 @@
     private static final String ZONE = Fixtures.TYPE.zones().get(0);
 
     /** A direct call to a worker, which the test completes by a response or a timeout. */
-    record Call(
+    public record Call(
             String address,
             long fencingToken,
             long agentEpoch,
             List<WorkerCommand> commands,
             Consumer<WorkerPort.Reply> callback) {
-        void respond(Heartbeat heartbeat) {
+        public void respond(Heartbeat heartbeat) {
             callback.accept(new WorkerPort.Reply(true, heartbeat));
         }
 
-        void refuse(Heartbeat heartbeat) {
+        public void refuse(Heartbeat heartbeat) {
             callback.accept(new WorkerPort.Reply(false, heartbeat));
         }
 
@@ -90,7 +90,7 @@
     public final SchedulingLoop loop;
 
     /** The direct calls to workers, in the order in which they were made. */
-    final List<Call> calls = new ArrayList<>();
+    public final List<Call> calls = new ArrayList<>();
     /** The ids of machines whose new fencing token was stored, in the order of the notifications. */
     final List<String> tokensRaised = new ArrayList<>();
 
@@ -100,7 +100,7 @@
     final TaskLifecycle tasks;
     final MachineInventory inventory;
     final TaskStatusUpdater statusUpdater;
-    final WorkerCalls workerCalls;
+    public final WorkerCalls workerCalls;
     /** Set by tests to end the term. */
     boolean termEnded;
     /** The outcome that the store returns for every write. */
@@ -199,6 +199,7 @@
             @Override
             public void onTokenRaised(Machine machine) {
                 tokensRaised.add(machine.id());
+                new TokenRaiseHandler(config, fleet, timers).onTokenRaised(machine);
             }
 
             @Override
--- a/src/test/java/org/granitepath/coordination/fleet/WorkerCallsTest.java
+++ b/src/test/java/org/granitepath/coordination/fleet/WorkerCallsTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import org.granitepath.coordination.model.Machine;
 import org.granitepath.coordination.model.Placement;
+import org.granitepath.coordination.ports.Heartbeat.TaskState;
 import org.granitepath.coordination.ports.WorkerCommand;
 import org.granitepath.storage.JobSpec;
 import org.junit.jupiter.api.Test;
@@ -139,4 +140,40 @@
         assertTrue(machine.contact().agentEpoch() < 0, "response not processed");
         assertEquals(List.of("ended"), events);
     }
+
+    /** A late copy of the task's start may be carried out again until the worker has a token that no start was sent under. */
+    @Test
+    void tasksOfRestartedWorkerAreFreedOnlyUnderNewToken() {
+        Machine machine = fixture.readyMachine("m");
+        Placement placement = fixture.startDirectly(fixture.job(JobSpec.Shape.BATCH), machine);
+        fixture.reconciler.reconcile(
+                machine,
+                nextHeartbeat(machine, FleetFixture.status(placement, TaskState.RUNNING)),
+                MessageOrigin.HEARTBEAT);
+        calls.requestStatus(machine);
+        onlyCall().refuse(heartbeat(machine, 1, 0));
+        assertTrue(machine.contact().isRestarted());
+        fixture.reconciler.reconcile(machine, heartbeat(machine, 1, TERM_TOKEN), MessageOrigin.HEARTBEAT);
+        assertTrue(placement.isActive());
+        fixture.timers.advance(FleetFixture.SECOND_MICROS);
+        assertFalse(machine.contact().isRestarted());
+        fixture.reconciler.reconcile(machine, heartbeat(machine, 1, machine.fencingToken()), MessageOrigin.HEARTBEAT);
+        assertFalse(placement.isActive());
+    }
+
+    @Test
+    void responseThatIsNewerThanCallProvesNoRestart() {
+        Machine machine = fixture.readyMachine("m");
+        calls.requestStatus(machine);
+        onlyCall().refuse(nextHeartbeat(machine));
+        assertFalse(machine.contact().isRestarted());
+    }
+
+    @Test
+    void newerMessageUnderLowerTokenProvesRestart() {
+        Machine machine = fixture.readyMachine("m");
+        fixture.reconciler.reconcile(machine, heartbeat(machine, AGENT_EPOCH, 0), MessageOrigin.HEARTBEAT);
+        assertTrue(machine.contact().isRestarted());
+        assertTrue(machine.inventory().needsNewToken());
+    }
 }
--- a/src/test/java/org/granitepath/coordination/term/HeartbeatHandlerTest.java
+++ b/src/test/java/org/granitepath/coordination/term/HeartbeatHandlerTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.granitepath.coordination.fleet.FleetFixture;
@@ -38,6 +39,7 @@
             fixture.machines,
             fixture.reconciler,
             fixture.machineCommands,
+            fixture.workerCalls,
             fixture.loop);
 
     private static HeartbeatResponse accepted(WorkerCommand... commands) {
@@ -103,4 +105,26 @@
         Machine machine = fixture.readyMachine("m");
         assertEquals(UNAVAILABLE, handler.handle(heartbeat(machine, AGENT_EPOCH - 1, TERM_TOKEN)));
     }
+
+    /** Such a heartbeat is an old copy, or the worker has restarted and must not learn the present token. */
+    @Test
+    void aWorkerThatCountsAnewWithoutATokenIsAskedForItsStatus() {
+        Machine machine = fixture.readyMachine("m");
+        assertEquals(UNAVAILABLE, handler.handle(heartbeat(machine, 1, 0)));
+        assertEquals(1, fixture.calls.size());
+        assertEquals(0, fixture.calls.get(0).fencingToken());
+        assertFalse(machine.contact().isRestarted(), "the heartbeat alone proves nothing");
+    }
+
+    @Test
+    void aRestartedWorkerIsNotAnsweredBeforeItsMachineHasANewToken() {
+        Machine machine = fixture.readyMachine("m");
+        handler.handle(heartbeat(machine, 1, 0));
+        fixture.calls.get(0).refuse(heartbeat(machine, 1, 0));
+        assertTrue(machine.contact().isRestarted());
+        assertEquals(UNAVAILABLE, handler.handle(heartbeat(machine, 1, 0)));
+        fixture.timers.advance(SECOND_MICROS);
+        assertEquals(
+                new HeartbeatResponse.Accepted(TERM_TOKEN + 1, List.of()), handler.handle(heartbeat(machine, 1, 0)));
+    }
 }
--- a/src/test/java/org/granitepath/simulation/SimPorts.java
+++ b/src/test/java/org/granitepath/simulation/SimPorts.java
@@ -87,6 +87,7 @@
                 Consumer<Reply> then) {
             long term = simulation.controllerAt(node).fencingToken();
             simulation.commands.recordCommands(term, node, address, commands);
+            simulation.lateCopies.add(address, fencingToken, agentEpoch, commands);
             boolean starts = commands.stream().anyMatch(command -> command.verb() == WorkerCommand.Verb.START);
             simulation.maxConcurrentCalls = Math.max(simulation.maxConcurrentCalls, ++callsInFlight);
             simulation.environment.<Reply>callAsync(
--- a/src/test/java/org/granitepath/simulation/SimTaskRunner.java
+++ b/src/test/java/org/granitepath/simulation/SimTaskRunner.java
@@ -184,6 +184,12 @@
         attempts.clear();
     }
 
+    /** Removes all attempts and images. */
+    void forgetAll() {
+        killAll();
+        cachedImages.clear();
+    }
+
     /** Records that a task no longer runs on this machine and removes it from its gang. */
     private void removeFromMachine(TaskAttempt attempt) {
         if (attempt.state == TaskState.WAITING
--- a/src/test/java/org/granitepath/simulation/SimWorker.java
+++ b/src/test/java/org/granitepath/simulation/SimWorker.java
@@ -38,6 +38,9 @@
     private final long leaseMicros;
     private final SimTaskRunner tasks;
     private long agentEpoch = 1;
+    /** Counts restarts of the worker; messages of an earlier process are lost. */
+    private int restarts;
+
     private long sequence;
     private long fencingToken;
     private long leaseStartMicros;
@@ -157,6 +160,28 @@
         }
     }
 
+    /** Restarts the worker at once under its old name, without its tasks, agent epoch, fencing token and images. */
+    void restart() {
+        tasks.forgetAll();
+        restarts++;
+        agentEpoch = 1;
+        sequence = 0;
+        fencingToken = 0;
+        leaseStartMicros = environment.nowMicros();
+        nextHeartbeatMicros = environment.nowMicros();
+        awaitingResponse = false;
+    }
+
+    /** How often the worker has restarted. */
+    int restarts() {
+        return restarts;
+    }
+
+    /** Whether the worker has accepted a message of a controller since it started. */
+    boolean hasFencingToken() {
+        return fencingToken > 0;
+    }
+
     /** Sets whether the machine hangs: it executes nothing while its clock runs on. */
     void setHanging(boolean shouldHang) {
         hanging = shouldHang;
@@ -232,6 +257,7 @@
         tasks.clearChanged();
         long sentMicros = environment.nowMicros();
         long sentEpoch = agentEpoch;
+        int sentRestarts = restarts;
         String node = controllers.nodeNames().get(controllerIndex);
         Heartbeat heartbeat = createHeartbeat();
         nextHeartbeatMicros = sentMicros
@@ -243,7 +269,11 @@
                 heartbeatsDropped ? "nowhere" : node,
                 RESPONSE_TIMEOUT_MICROS,
                 () -> heartbeatsDropped ? null : controllers.handleHeartbeat(node, heartbeat),
-                answer -> onHeartbeatResponse(answer, sentMicros, sentEpoch));
+                answer -> {
+                    if (restarts == sentRestarts) {
+                        onHeartbeatResponse(answer, sentMicros, sentEpoch);
+                    }
+                });
     }
 
     /**
--- a/src/test/java/org/granitepath/simulation/Simulation.java
+++ b/src/test/java/org/granitepath/simulation/Simulation.java
@@ -70,6 +70,7 @@
     final SimJobs jobs;
     final SimUsers users = new SimUsers(this);
     final SimFaults faults = new SimFaults(this);
+    final SimLateCopies lateCopies = new SimLateCopies(this);
     private final SimPorts ports = new SimPorts(this);
     final Map<String, SimNode> nodes = new LinkedHashMap<>();
     private final Set<TaskId> completedTasks = new HashSet<>();
