--- a/src/main/java/org/granitepath/coordination/model/WorkerContact.java
+++ b/src/main/java/org/granitepath/coordination/model/WorkerContact.java
@@ -85,8 +85,8 @@
 
     /**
      * Records that the worker has restarted, so it has forgotten its tasks, its agent epoch and its fencing token. The
-     * next message is accepted whatever its number. Until {@link #clearRestart}, the worker must not learn the machine's
-     * current fencing token, since late copies of commands under that token would be carried out.
+     * next message is accepted whatever its number. Until {@link #clearRestart}, the worker must not learn the
+     * machine's current fencing token, since late copies of commands under that token would be carried out.
      */
     public void recordRestart() {
         restarted = true;
--- a/src/test/java/org/granitepath/coordination/fleet/WorkerCallsTest.java
+++ b/src/test/java/org/granitepath/coordination/fleet/WorkerCallsTest.java
@@ -141,7 +141,7 @@
         assertEquals(List.of("ended"), events);
     }
 
-    /** A late copy of the task's start may be carried out again until the worker has a token that no start was sent under. */
+    /** Until the worker has a token that no start was sent under, a late copy of a start may be carried out again. */
     @Test
     void tasksOfRestartedWorkerAreFreedOnlyUnderNewToken() {
         Machine machine = fixture.readyMachine("m");
--- a/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
+++ b/src/test/java/org/granitepath/simulation/FaultyMachinesTest.java
@@ -120,8 +120,8 @@
     }
 
     /**
-     * All machines of a zone are faulty for a while and hold services, and the cloud has no others. They were never used
-     * again, though they worked, since they were drained and never empty.
+     * All machines of a zone are faulty for a while and hold services, and the cloud has no others. They were never
+     * used again, though they worked, since they were drained and never empty.
      */
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33})
--- a/src/test/java/org/granitepath/simulation/LateStartsTest.java
+++ b/src/test/java/org/granitepath/simulation/LateStartsTest.java
@@ -35,8 +35,8 @@
     }
 
     /**
-     * Workers restart within a moment, in their first agent epoch and without a fencing token, so copies from before the
-     * restart match. Once a controller has answered them, none may.
+     * Workers restart within a moment, in their first agent epoch and without a fencing token, so copies from before
+     * the restart match. Once a controller has answered them, none may.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
